--- a/src/copperpass/core/dispatch.py
+++ b/src/copperpass/core/dispatch.py
@@ -56,7 +56,7 @@
 
 
 def best_machine(
-    job: Job, usable: list[Machine], machines: dict[str, Machine], avoid: set[str]
+    job: Job, usable: list[Machine], machines: dict[str, Machine], avoid: set[str], now: float
 ) -> Machine | None:
     """The machine that has the image, and the least room left, among those that fit."""
     best: Machine | None = None
@@ -65,6 +65,9 @@
     for machine in usable:
         if not machine.has_room(spec) or not allows(spec, machine.type, machine.zone, machine.spot):
             continue
+        if now < machine.held_until and machine.held_for != spec.id:
+            # Room that was freed by stopping tasks is for the job they were stopped for.
+            continue
         if machine.name in avoid or not zone_allows(job, machine.zone, machines):
             continue
         cpus, _, memory = machine.room()
--- a/src/copperpass/core/fleet.py
+++ b/src/copperpass/core/fleet.py
@@ -87,6 +87,8 @@
     fenced: bool = False
     idle_since: float = 0.0
     hold_until: float = 0.0
+    held_for: str = ""
+    held_until: float = 0.0
     do_in_flight: bool = False
     do_broken_until: float = 0.0
     errors: set[str] = field(default_factory=set)
--- a/src/copperpass/core/steward.py
+++ b/src/copperpass/core/steward.py
@@ -72,6 +72,7 @@
         self.listing = False
         self.next_plan = now
         self.next_scan = now
+        self.next_summary = now
         self.next_round = now
         self.by_team = {t.name: t for t in cluster.teams}
         self.gpus_matter = any(t.gpus > 0 or t.gpus_max > 0 for t in cluster.teams)
@@ -655,9 +656,9 @@
             )
             machine = None
             if not over:
-                machine = dispatch.best_machine(job, usable, self.machines, job.failed_on)
+                machine = dispatch.best_machine(job, usable, self.machines, job.failed_on, now)
                 if machine is None and job.failed_on:
-                    machine = dispatch.best_machine(job, usable, self.machines, set())
+                    machine = dispatch.best_machine(job, usable, self.machines, set(), now)
             if machine is None:
                 order[name].pop(0)
                 if not over:
@@ -708,11 +709,16 @@
             due = self.aims.due(job, now) - now
             if due > self.boot_s:
                 continue
-            under = fits(used[spec.team][0] + spec.cpus, self.by_team[spec.team].cpus)
+            guaranteed = self.by_team[spec.team].cpus
+            under = self.aims.guarantee is not None and fits(
+                used[spec.team][0] + spec.cpus, guaranteed
+            )
             budget = min(job.waiting(), 8) - stopping
             while budget > 0:
                 best: tuple[float, Machine, list[Placement]] | None = None
                 for machine in usable:
+                    if now < machine.held_until:
+                        continue
                     chosen = dispatch.victims(job, machine, self.jobs.jobs, over, under, now)
                     if not chosen:
                         continue
@@ -730,6 +736,8 @@
                     p.stop_sent = 0.0
                     stopping += 1
                 budget -= 1
+                best[1].held_for = spec.id
+                best[1].held_until = now + 2 * self.report_s
                 self._send_direct(now, best[1])
 
     # -- rental ------------------------------------------------------------------------
@@ -771,10 +779,28 @@
             for place, count in wanted.items():
                 if self.renting.get(place, 0) == 0:
                     self._rent(now, place, min(count, 50))
+        if now >= self.next_summary:
+            self.next_summary = now + 5 * self.report_s
+            self._summary(now, warm, tight)
         back = rental.to_return(self.machines, warm, now, self.boot_s)
         if back:
             self._release(now, back[:100])
 
+    def _summary(self, now: float, warm: float, tight: float) -> None:
+        """Say for the log how the fleet stands."""
+        kinds: dict[str, list[float]] = {}
+        for m in self.machines.values():
+            state = "up" if m.up else "starting"
+            sums = kinds.setdefault(f"{m.type.name} {'spot' if m.spot else 'ordinary'} {state}",
+                                    [0, 0.0, 0.0, 0.0])
+            sums[0] += 1
+            sums[1] += m.type.cpus
+            sums[2] += m.used_cpus
+            sums[3] += sum(p.cpus for p in m.tasks.values() if p.active and p.running_at)
+        waiting = sum(j.waiting() for j in self.jobs.jobs.values())
+        self.out.log("info", "fleet", warm=round(warm), tight=round(tight), waiting=waiting,
+                     machines={k: [round(x) for x in v] for k, v in kinds.items()})
+
     def _rent(self, now: float, place: rental.Place, count: int) -> None:
         self.booking += 1
         # The token is this authority's alone, so the name is never used again by any node.
