--- a/src/copperpass/core/dispatch.py
+++ b/src/copperpass/core/dispatch.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from copperpass import wire
-from copperpass.core.fleet import Machine, Placement, allows, zone_allows
+from copperpass.core.fleet import Machine, Placement, allows, type_fits, zone_allows
 from copperpass.core.jobs import Job
 from copperpass.settings import Objective
 
@@ -56,9 +56,18 @@
 
 
 def best_machine(
-    job: Job, usable: list[Machine], machines: dict[str, Machine], avoid: set[str], now: float
+    job: Job,
+    usable: list[Machine],
+    machines: dict[str, Machine],
+    avoid: set[str],
+    now: float,
+    scarce: dict[str, float],
 ) -> Machine | None:
-    """The machine that has the image, and the least room left, among those that fit."""
+    """The machine that has the image, is cheap, and has the least room left.
+
+    `scarce` puts a price in seconds on machines of a type that larger tasks depend on.
+    Cheap machines first: then the dear ones fall idle in a lull and can go back.
+    """
     best: Machine | None = None
     best_score: tuple[float, ...] = ()
     spec = job.spec
@@ -85,6 +94,22 @@
     return best
 
 
+def scarce_types(
+    spec: wire.Spec, jobs: Iterable[Job], types: Iterable[wire.MachineType], price_s: float
+) -> dict[str, float]:
+    """Types that fit the job but that some larger job needs because few others fit it."""
+    mine = [t for t in types if type_fits(spec, t)]
+    if len(mine) < 2:
+        return {}
+    prices: dict[str, float] = {}
+    for job in jobs:
+        if job.spec.cpus > spec.cpus or job.spec.memory_gb > spec.memory_gb:
+            theirs = {t.name for t in mine if type_fits(job.spec, t)}
+            if len(theirs) < len(mine):
+                prices.update(dict.fromkeys(theirs, price_s))
+    return prices
+
+
 def remaining(placement: Placement, now: float) -> float:
     """How long a task will still run, by its owner's estimate."""
     if not placement.running_at:
--- a/src/copperpass/core/rental.py
+++ b/src/copperpass/core/rental.py
@@ -10,6 +10,7 @@
 from copperpass.core.fleet import Machine, allows, type_fits
 from copperpass.core.jobs import Job
 
+PATIENT_BOOTS = 1.2
 Place = tuple[str, str, bool]
 
 
@@ -187,7 +188,9 @@
             if left <= 0:
                 break
         while left > 0 and sum(wanted.values()) < 50:
-            place = choose_place(spec, left, types, zones, refusals, now, False)
+            # Work that can wait for longer than a boot asks only for the cheap kind at first.
+            patient = horizon > PATIENT_BOOTS * max(t.boot_s for t in types.values())
+            place = choose_place(spec, left, types, zones, refusals, now, patient and spec.spot)
             if place is None:
                 break
             left -= rent(place).take(spec, left, horizon)
--- a/src/copperpass/core/steward.py
+++ b/src/copperpass/core/steward.py
@@ -22,6 +22,8 @@
 TOKEN_SHIFT = 20
 ATTEMPT_SHIFT = 16
 GHOST = "?"
+# The warm room is the peak of the demand that can't wait for a boot, over this many boot times.
+WARM_BOOTS = 2.0
 
 
 class Steward:
@@ -65,7 +67,7 @@
         }
         self.refusals = rental.Refusals()
         self.boot_s = max((t.boot_s for t in types.values()), default=20.0)
-        self.peak = rental.Peak(4 * self.boot_s)
+        self.peak = rental.Peak(WARM_BOOTS * self.boot_s)
         self.booking = 0
         self.renting: dict[rental.Place, int] = {}
         self.next_list = now
@@ -540,7 +542,7 @@
                 self.out.log("info", "lease over", machine=machine.name)
                 self._session_over(now, machine)
             quiet = now - machine.last_report
-            if machine.up and quiet > 2 * self.silence and not machine.releasing:
+            if machine.up and quiet > 1.5 * self.silence and not machine.releasing:
                 # A silent machine among speaking ones: have the cloud end it, which frees its
                 # tasks sooner than its lease would.
                 silent = sum(
@@ -634,6 +636,7 @@
         order = {name: dispatch.task_order(q, self.aims, now) for name, q in queues.items()}
         stuck: list[Job] = []
         touched: dict[str, Machine] = {}
+        scarce: dict[tuple[float, float], dict[str, float]] = {}
         while usable:
             names = [name for name, q in order.items() if q]
             if not names:
@@ -656,9 +659,18 @@
             )
             machine = None
             if not over:
-                machine = dispatch.best_machine(job, usable, self.machines, job.failed_on, now)
+                shape = (spec.cpus, spec.memory_gb)
+                if shape not in scarce:
+                    scarce[shape] = dispatch.scarce_types(
+                        spec, self.jobs.jobs.values(), self.types.values(), self.boot_s / 2
+                    )
+                machine = dispatch.best_machine(
+                    job, usable, self.machines, job.failed_on, now, scarce[shape]
+                )
                 if machine is None and job.failed_on:
-                    machine = dispatch.best_machine(job, usable, self.machines, set(), now)
+                    machine = dispatch.best_machine(
+                        job, usable, self.machines, set(), now, scarce[shape]
+                    )
             if machine is None:
                 order[name].pop(0)
                 if not over:
@@ -782,7 +794,7 @@
         if now >= self.next_summary:
             self.next_summary = now + 5 * self.report_s
             self._summary(now, warm, tight)
-        back = rental.to_return(self.machines, warm, now, self.boot_s)
+        back = rental.to_return(self.machines, warm, now, 0.5 * self.boot_s)
         if back:
             self._release(now, back[:100])
 
