--- a/src/copperpass/core/authority.py
+++ b/src/copperpass/core/authority.py
@@ -1,55 +1,115 @@
-"""Who leads: a leased key and a token counter, changed in one transaction.
+"""Who leads: a leased key, a token counter, and promises for outages.
 
-The lease is counted from the moment the request that won or renewed it was
-sent, on this process's steady clock, less drift, so that this node's belief
-always ends before the key can vanish. Tokens only rise.
+The argument is in docs/design.md. In short, with ttl the life of the leader
+key, P the length of promises, and B the longest bridge:
+
+- The key is counted from the *sending* of the request that won or renewed it.
+- A leader whose key may have ended keeps its authority only while *every* other
+  member has promised not to campaign, and for at most B after its last renewal.
+- A candidate must itself be free of promises, and refuses them while it campaigns;
+  so no bridge can run from the moment that any member campaigns.
+- A member that has just started may have promised before: it keeps still for P,
+  unless the last token was its own, since then the bridge would have been its own.
+- A win counts only if its answer comes in time; tokens only rise.
 """
 
 from __future__ import annotations
 
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import msgspec
 
-from copperpass import wire
+from copperpass import peer, wire
 from copperpass.core.ledger import APPLIED, CONFLICT, Ledger, Op
 from copperpass.core.ports import Call, Outbox, Outcome
+from copperpass.settings import Cluster, SettingsError
 
 DRIFT = 0.0005
 LEAD, TOKEN = "c/lead", "c/token"
 
 
+@dataclass(frozen=True, slots=True)
+class Times:
+    """The lengths that the safety argument is about."""
+
+    ttl: float
+    promise: float
+    bridge: float
+    lease: float
+    cancel: float
+
+    def check(self) -> None:
+        """Refuse lengths for which the argument does not hold."""
+        slack = 1 + 4 * DRIFT
+        if not 0 < self.promise * slack < self.ttl:
+            raise SettingsError("promise must be shorter than the leader key's life")
+        if (self.ttl + 2 * self.promise) * slack >= self.lease:
+            raise SettingsError("workers.lease_s: too short for a change of leader")
+        if self.bridge < 0 or (self.bridge + self.lease) * slack > self.cancel:
+            raise SettingsError("workers.cancel_s: too short for a bridge and a worker's lease")
+
+
+def times_of(cluster: Cluster) -> Times:
+    """The lengths as ratios of the workers' figures."""
+    lease, cancel = cluster.workers.lease_s, cluster.workers.cancel_s
+    ttl = 0.28 * lease
+    times = Times(ttl, 0.5 * ttl, max(0.0, 0.95 * (cancel - 1.01 * lease)), lease, cancel)
+    times.check()
+    return times
+
+
 class Authority:
     """The election core of one node."""
 
     def __init__(
         self,
         member: str,
-        ttl: float,
+        others: list[str],
+        times: Times,
         out: Outbox,
         ledger: Ledger,
         rng: random.Random,
-        on_change: Callable[[float, bool], None],
+        on_change: Callable[[float, bool, bool], None],
+        now: float,
     ) -> None:
-        self.member, self.ttl, self.out, self.ledger, self.rng = member, ttl, out, ledger, rng
+        self.member, self.others, self.times = member, others, times
+        self.ttl = times.ttl
+        self.out, self.ledger, self.rng = out, ledger, rng
         self.on_change = on_change
         self.lead: wire.LeadRecord | None = None
         self.lead_version = 0
         self.counter = 0
         self.counter_version = 0
+        self.counter_holder = ""
         self.known = False
+        # As a leader.
         self.leading = False
         self.token = 0
         self.win_revision = 0
-        self.valid_until = 0.0
+        self.lease_until = 0.0
+        self.bridge_until = 0.0
         self.lease: int | None = None
-        self.lease_sent = 0.0
-        self.campaigning = False
-        self.next_campaign = 0.0
         self.next_renewal = 0.0
         self.renewing = False
+        self.next_ask = 0.0
+        self.number = rng.getrandbits(32)
+        self.asked: dict[int, float] = {}
+        self.promised: dict[str, float] = {}
+        # As a candidate.
+        self.campaigning = False
+        self.new_lease: int | None = None
+        self.new_lease_sent = 0.0
+        # Members campaign one after the other, so that they seldom meet.
+        rank = sorted([member, *others]).index(member)
+        self.turn = rank * times.ttl / 12
+        self.next_campaign = now + self.turn
         self.shun_until = 0.0
+        # As a member that promises. A restart forgets promises: keep still until any has run out.
+        self.quiet_until = now + times.promise * (1 + 4 * DRIFT)
+        self.promise_until = 0.0
+        self.highest = 0
 
     # -- what the watch saw ---------------------------------------------------
 
@@ -61,27 +121,40 @@
             had = self.lead
             self.lead = wire.decode(raw, wire.LeadRecord) if raw is not None else None
             self.lead_version = version if raw is not None else 0
-            if had is not None and self.lead is None:
-                self.next_campaign = max(now + self.rng.uniform(0, self.ttl / 20), self.shun_until)
-            if self.leading and self.lead_is_gone():
-                self.step_down(now, "leader key lost")
-            if self.lead and self.lead.member == self.member and self.lead.lease != self.lease:
+            if self.lead is None:
+                if had is not None:
+                    soon = now + self.turn + self.rng.uniform(0, self.ttl / 40)
+                    self.next_campaign = max(soon, self.shun_until)
+                if self.leading:
+                    # The key has ended: from here on only promises carry the authority.
+                    self.lease_until = min(self.lease_until, now)
+                    self.lease = None
+                return
+            if self.leading and self.lead.token > self.token:
+                self.step_down(now, "another leads")
+            if self.lead.member == self.member and self.lead.lease not in (
+                self.lease, self.new_lease
+            ):
                 # Our own earlier run still holds the key: that process is gone, so end its lease.
                 self._drop(self.lead.lease)
         elif key == TOKEN and raw is not None and version > self.counter_version:
             record = wire.decode(raw, wire.TokenRecord)
             if record:
                 self.counter, self.counter_version = record.token, version
-
-    def lead_is_gone(self) -> bool:
-        """Whether a watch newer than our win shows the key with somebody else, or gone."""
-        if self.lead is None:
-            return True
-        return self.lead.lease != self.lease
+                self.counter_holder = record.member
 
     def entitled(self, now: float) -> bool:
         """Whether this node may act for the controllers at this moment."""
-        return self.leading and now < self.valid_until
+        return self.leading and (now < self.lease_until or self.bridged(now))
+
+    def bridged(self, now: float) -> bool:
+        """Whether the others' promises carry the authority without the key."""
+        backed = all(now < self.promised.get(other, 0.0) for other in self.others)
+        return self.leading and backed and now < self.bridge_until
+
+    def bridging(self, now: float) -> bool:
+        """Whether only promises carry the authority."""
+        return self.leading and now >= self.lease_until
 
     def leader_name(self) -> str | None:
         """The member that leads, as far as this node knows."""
@@ -90,13 +163,15 @@
     # -- time -----------------------------------------------------------------
 
     def tick(self, now: float) -> None:
-        """Campaign, renew or step down as the time asks for."""
+        """Campaign, renew, ask for promises or step down as the time asks for."""
         if self.leading:
-            if now >= self.valid_until:
-                self.step_down(now, "lease ran out")
-            elif now >= self.next_renewal and not self.renewing:
+            if not self.entitled(now):
+                self.step_down(now, "authority ran out")
+                return
+            if self.lease is not None and now >= self.next_renewal and not self.renewing:
                 self._renew(now)
-            return
+            if now >= self.next_ask:
+                self._ask(now)
         free = self.known and self.lead is None and not self.campaigning
         if free and now >= max(self.next_campaign, self.shun_until):
             self._campaign(now)
@@ -106,8 +181,10 @@
         if self.leading:
             self.out.log("info", "stepping down", why=why, token=self.token)
             self.leading = False
-            self.valid_until = 0.0
-            self.on_change(now, False)
+            self.lease_until = self.bridge_until = 0.0
+            self.promised.clear()
+            self.asked.clear()
+            self.on_change(now, False, False)
         if self.lease is not None:
             self._drop(self.lease)
             self.lease = None
@@ -119,12 +196,54 @@
             Call("state", "DELETE", wire.path_lease(lease), lambda n, o: None, b"", self.ttl)
         )
 
+    # -- frames from the others -----------------------------------------------
+
+    def received(self, now: float, sender: str, frame: peer.Frame) -> None:
+        """Take a frame of the election."""
+        if isinstance(frame, peer.Ask):
+            granted = self._may_promise(frame.token)
+            if granted:
+                self.promise_until = now + self.times.promise
+                self.highest = max(self.highest, frame.token)
+            self.out.send(sender, peer.Promise(frame.token, frame.number, granted))
+        elif isinstance(frame, peer.Promise):
+            sent = self.asked.get(frame.number)
+            if frame.granted and sent is not None and frame.token == self.token and self.leading:
+                until = sent + self.times.promise * (1 - 2 * DRIFT)
+                self.promised[sender] = max(self.promised.get(sender, 0.0), until)
+
+    def _may_promise(self, token: int) -> bool:
+        # Until the counter is known, a higher token may have been won, by this very node too.
+        known = self.known and token >= max(self.highest, self.counter)
+        return known and not self.leading and not self.campaigning
+
+    def _may_campaign(self, now: float) -> bool:
+        if now < self.promise_until:
+            return False
+        return now >= self.quiet_until or self.counter_holder in ("", self.member)
+
+    # -- promises ---------------------------------------------------------------
+
+    def _ask(self, now: float) -> None:
+        self.next_ask = now + self.times.promise / 4
+        self.number += 1
+        self.asked[self.number] = now
+        for old in [n for n, at in self.asked.items() if now - at > self.times.promise]:
+            del self.asked[old]
+        for other in self.others:
+            self.out.send(other, peer.Ask(self.token, self.number))
+
+    # -- campaign -----------------------------------------------------------------
+
     def _campaign(self, now: float) -> None:
+        if not self._may_campaign(now):
+            self.next_campaign = now + self.ttl / 40
+            return
         self.campaigning = True
-        self.lease_sent = now
+        self.new_lease_sent = now
         body = wire.encode({"ttl_ms": int(self.ttl * 1000)})
         self.out.calls.append(
-            Call("state", "POST", wire.PATH_LEASES, self._leased, body, self.ttl / 2)
+            Call("state", "POST", wire.PATH_LEASES, self._leased, body, self.ttl / 3)
         )
 
     def _leased(self, now: float, outcome: Outcome) -> None:
@@ -134,7 +253,7 @@
                 self._drop(made.lease)
             self._lost(now)
             return
-        self.lease = made.lease
+        self.new_lease = made.lease
         token = self.counter + 1
         record = wire.LeadRecord(self.member, token, made.lease)
         self.ledger.submit(
@@ -143,38 +262,45 @@
                 {LEAD: 0, TOKEN: self.counter_version},
                 [
                     wire.put(LEAD, msgspec.to_builtins(record), made.lease),
-                    wire.put(TOKEN, {"token": token}),
+                    wire.put(TOKEN, {"token": token, "member": self.member}),
                 ],
-                lambda n, how, rev: self._campaigned(n, how, rev, token),
-                now + self.ttl / 2,
+                lambda n, how, rev: self._campaigned(n, how, rev, token, made.lease),
+                now + self.ttl / 3,
             ),
         )
 
-    def _campaigned(self, now: float, how: str, revision: int, token: int) -> None:
-        valid = self.lease_sent + self.ttl * (1 - 2 * DRIFT)
-        if how == APPLIED and now < valid and self.lease is not None:
+    def _campaigned(self, now: float, how: str, revision: int, token: int, lease: int) -> None:
+        valid = self.new_lease_sent + self.ttl * (1 - 2 * DRIFT)
+        self.new_lease = None
+        if how == APPLIED and now < valid:
+            continued = self.entitled(now)
             self.campaigning = False
             self.leading = True
-            self.token = token
-            self.win_revision = revision
-            self.lead = wire.LeadRecord(self.member, token, self.lease)
+            self.token, self.win_revision, self.lease = token, revision, lease
+            self.lead = wire.LeadRecord(self.member, token, lease)
             self.lead_version = revision
             self.counter, self.counter_version = token, revision
-            self.valid_until = valid
-            self.next_renewal = self.lease_sent + self.ttl / 4
-            self.out.log("info", "leading", token=token)
-            self.on_change(now, True)
+            self.counter_holder = self.member
+            self.highest = max(self.highest, token)
+            self.promised.clear()
+            self.asked.clear()
+            self.lease_until = valid
+            self.bridge_until = self.new_lease_sent + self.times.bridge
+            self.next_renewal = self.new_lease_sent + self.ttl / 4
+            self.next_ask = now
+            self.out.log("info", "leading", token=token, continued=continued)
+            self.on_change(now, True, continued)
             return
-        # Unknown outcome: end the lease, so that a late write of the key is refused or removed.
-        if self.lease is not None:
-            self._drop(self.lease)
-            self.lease = None
+        # Unknown outcome or too late: end the lease, so that a late write of the key is refused.
+        self._drop(lease)
         self._lost(now, quick=how == CONFLICT)
 
     def _lost(self, now: float, quick: bool = False) -> None:
         self.campaigning = False
         spread = self.ttl / 10 if quick else self.ttl / 4
-        self.next_campaign = now + self.rng.uniform(spread / 2, spread)
+        self.next_campaign = now + self.turn + self.rng.uniform(spread / 2, spread)
+
+    # -- the key --------------------------------------------------------------------
 
     def _renew(self, now: float) -> None:
         if self.lease is None:
@@ -194,8 +320,9 @@
         if not self.leading or lease != self.lease:
             return
         if outcome.status == 200:
-            self.valid_until = max(self.valid_until, sent + self.ttl * (1 - 2 * DRIFT))
+            self.lease_until = max(self.lease_until, sent + self.ttl * (1 - 2 * DRIFT))
+            self.bridge_until = max(self.bridge_until, sent + self.times.bridge)
         elif outcome.status == 404:
-            self.step_down(now, "lease ended")
+            self.lease, self.lease_until = None, min(self.lease_until, now)
         else:
             self.next_renewal = now + self.ttl / 12
--- a/src/copperpass/core/node.py
+++ b/src/copperpass/core/node.py
@@ -5,8 +5,8 @@
 import random
 from typing import Any
 
-from copperpass import wire
-from copperpass.core.authority import LEAD, TOKEN, Authority
+from copperpass import peer, wire
+from copperpass.core.authority import LEAD, TOKEN, Authority, times_of
 from copperpass.core.jobs import LIVE, JobTable
 from copperpass.core.ledger import Ledger
 from copperpass.core.ports import Call, Outbox, Outcome
@@ -15,19 +15,19 @@
 from copperpass.core.view import View
 from copperpass.settings import Settings
 
-TTL_PER_LEASE = 0.28
 SHUN_PER_LEASE = 1.0
 
 
 class Node:
     """Takes inputs; leaves calls, replies and log lines in its outbox."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: Settings, seed: int, now: float) -> None:
         cluster = settings.cluster
         self.settings, self.cluster = settings, cluster
         self.rng = random.Random(seed)
         self.out = Outbox()
-        self.ttl = cluster.workers.lease_s * TTL_PER_LEASE
+        self.times = times_of(cluster)
+        self.ttl = self.times.ttl
         timeout = self.ttl / 3
         self.ledger = Ledger(self.out, cluster.state.write_rps, cluster.state.txn_ops, timeout)
         self.desk = UserDesk(cluster, self.out, self.ledger, 1.6)
@@ -35,14 +35,22 @@
         self.jobs = JobTable()
         self.records: dict[str, tuple[list[Any], int]] = {}
         self.authority = Authority(
-            settings.name, self.ttl, self.out, self.ledger, self.rng, self._authority_changed
+            settings.name, [m.name for m in settings.members], self.times, self.out,
+            self.ledger, self.rng, self._authority_changed, now,
         )
-        self.view = View(self.out, self._saw, min(10.0, 2 * self.ttl), timeout)
+        self.view = View(self.out, self._saw, self.ttl / 2, timeout)
+        self.started = now
+        self.last_state = now
+        self.last_worker = float("-inf")
+        self.peer_state: dict[str, float] = {}
+        self.peer_worker: dict[str, float] = {}
+        self.peer_counts: dict[str, int] = {}
+        self.next_beat = now
+        self.next_counts = now
         self.steward: Steward | None = None
         self.types: dict[str, wire.MachineType] = {}
         self.next_types = 0.0
         self.fetching_types = False
-        self.healthy_until = 0.0
 
     # -- inputs ------------------------------------------------------------------------
 
@@ -61,12 +69,31 @@
                 steward.begin(now)
             steward.tick(now)
             self._mind_isolation(now, steward)
+        if now >= self.next_beat:
+            self._beat(now)
+
+    def received(self, now: float, sender: str, frame: peer.Frame) -> None:
+        """A frame from another controller."""
+        if isinstance(frame, peer.Beat):
+            if frame.state_age_ms != peer.NEVER:
+                self.peer_state[sender] = now - frame.state_age_ms / 1000
+            if frame.worker_age_ms != peer.NEVER:
+                self.peer_worker[sender] = now - frame.worker_age_ms / 1000
+        elif isinstance(frame, peer.Counts):
+            self.peer_counts = frame.running
+        else:
+            self.authority.received(now, sender, frame)
+
+    def state_answered(self, now: float) -> None:
+        """The state service has answered a request of this node."""
+        self.last_state = now
 
     def report(self, now: float, body: bytes) -> tuple[int, bytes]:
         """POST /v1/report."""
         report = wire.decode(body, wire.Report)
         if report is None:
             return 400, wire.error("malformed report")
+        self.last_worker = now
         steward = self.steward
         if steward is None or not self.authority.entitled(now):
             leader = self.authority.leader_name()
@@ -80,11 +107,19 @@
         """Whether this node can take requests now."""
         if not self.types or not self.view.listed:
             return False
-        # A watch waits for up to wait_s when nothing changes: only beyond that it is silence.
-        return now - self.view.last_contact < self.view.wait_s + self.ttl
+        # In an outage all nodes are alike, and leaving would only delay the return. A node that
+        # is refused alone, while others are served, should take no requests.
+        return not self._behind(now)
+
+    def _behind(self, now: float) -> bool:
+        """Whether another node has reached the state service well after this one last did."""
+        latest = max(self.peer_state.values(), default=float("-inf"))
+        return latest - self.last_state > self.ttl
 
     def running_of(self, job_id: str) -> int:
         """How many tasks of a job run, as far as this node knows; for display."""
+        if self.steward is None:
+            return self.peer_counts.get(job_id, 0)
         job = self.jobs.jobs.get(job_id)
         return len(job.placed) if job else 0
 
@@ -109,7 +144,11 @@
             if self.steward is not None:
                 self.steward.saw_record(now, name, raw)
 
-    def _authority_changed(self, now: float, leading: bool) -> None:
+    def _authority_changed(self, now: float, leading: bool, continued: bool) -> None:
+        if leading and continued and self.steward is not None:
+            # Nobody else can have commanded in between: only the token rises.
+            self.steward.raise_token(self.authority.token, self.authority.win_revision)
+            return
         for job in self.jobs.jobs.values():
             job.placed.clear()
             job.finished.clear()
@@ -135,6 +174,24 @@
         if up and quiet > max(2.5 * self.cluster.workers.report_s, self.ttl):
             shun = self.cluster.workers.lease_s * SHUN_PER_LEASE
             self.authority.step_down(now, "no worker heard", shun)
+        elif self.authority.bridging(now) and self._behind(now):
+            # The state service refuses this node alone: another can lead with it.
+            self.authority.step_down(now, "refused alone by the state service", self.ttl)
+
+    def _beat(self, now: float) -> None:
+        self.next_beat = now + self.times.promise / 4
+
+        def age(at: float) -> int:
+            return min(peer.NEVER - 1, int((now - at) * 1000)) if at > 0 else peer.NEVER
+
+        beat = peer.Beat(self.authority.counter, age(self.last_state), age(self.last_worker))
+        for other in self.authority.others:
+            self.out.send(other, beat)
+        if self.steward is not None and now >= self.next_counts:
+            self.next_counts = now + 1.0
+            counts = {j: len(job.placed) for j, job in self.jobs.jobs.items() if job.placed}
+            for other in self.authority.others:
+                self.out.send(other, peer.Counts(counts))
 
     def _fetch_types(self, now: float) -> None:
         self.fetching_types = True
--- a/src/copperpass/core/ports.py
+++ b/src/copperpass/core/ports.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from copperpass.peer import Frame
+
 NO_ANSWER = 0
 
 
@@ -48,8 +50,13 @@
 
     calls: list[Call] = field(default_factory=list)
     replies: list[Reply] = field(default_factory=list)
+    frames: list[tuple[str, Frame]] = field(default_factory=list)
     logs: list[tuple[str, str, dict[str, object]]] = field(default_factory=list)
 
+    def send(self, member: str, frame: Frame) -> None:
+        """Send a frame to another controller."""
+        self.frames.append((member, frame))
+
     def log(self, level: str, event: str, **fields: object) -> None:
         """Note an event for the log."""
         self.logs.append((level, event, fields))
--- a/src/copperpass/core/steward.py
+++ b/src/copperpass/core/steward.py
@@ -46,6 +46,7 @@
         self.cluster, self.out, self.ledger, self.jobs = cluster, out, ledger, jobs
         self.types, self.records = types, records
         self.epoch, self.token_version = token, token_version
+        self.settle_version = token_version
         self.base_token = token << TOKEN_SHIFT
         self.entitled = entitled
         self.rng = rng
@@ -96,6 +97,14 @@
                 self._match_job(now, machine, p)
         self.dirty = True
 
+    def raise_token(self, token: int, version: int) -> None:
+        """Go on under a higher token; nobody else has commanded since the last one."""
+        self.epoch, self.token_version = token, version
+        self.base_token = token << TOKEN_SHIFT
+        for machine in self.machines.values():
+            machine.token = self.base_token
+            machine.recording = False
+
     def _from_record(self, now: float, name: str, record: list[Any]) -> Machine | None:
         machine_type = self.types.get(str(record[0]))
         if machine_type is None or name in self.gone:
@@ -592,7 +601,7 @@
         if now < job.hold_until:
             return False
         # Tasks of a job from before our win may still run where we have not looked yet.
-        return not (self.unsettled and job.created <= self.token_version)
+        return not (self.unsettled and job.created <= self.settle_version)
 
     def _claims(self) -> list[allocation.Claim]:
         claims = []
--- /dev/null
+++ b/src/copperpass/net/peers.py
@@ -0,0 +1,122 @@
+"""The links between controllers: one outgoing connection to each, many incoming."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.protocol import ClientFactory, Protocol, ServerFactory
+
+from copperpass import peer
+from copperpass.settings import split_address
+
+logger = logging.getLogger("copperpass")
+Received = Callable[[str, peer.Frame], None]
+
+
+class Incoming(Protocol):
+    """Frames from another controller."""
+
+    def __init__(self, members: set[str], received: Received) -> None:
+        self.members, self.received = members, received
+        self.unpacker = peer.Unpacker()
+        self.sender = ""
+
+    def dataReceived(self, data: bytes) -> None:
+        """Take bytes; anything unexpected closes the link and changes nothing."""
+        try:
+            for frame in self.unpacker.feed(data):
+                if isinstance(frame, peer.Hello):
+                    if self.sender or frame.member not in self.members:
+                        raise peer.BadFrame(f"wrong sender {frame.member!r}")
+                    self.sender = frame.member
+                elif not self.sender:
+                    raise peer.BadFrame("no hello")
+                else:
+                    self.received(self.sender, frame)
+        except peer.BadFrame as error:
+            logger.error("bad frame", extra={"fields": {"peer": self.sender, "why": str(error)}})
+            if self.transport is not None:
+                self.transport.abortConnection()
+
+
+class IncomingFactory(ServerFactory):
+    """Makes the receiving ends."""
+
+    noisy = False
+
+    def __init__(self, members: set[str], received: Received) -> None:
+        self.members, self.received = members, received
+
+    def buildProtocol(self, addr: Any) -> Incoming:
+        """Make one receiving end."""
+        return Incoming(self.members, self.received)
+
+
+class Outgoing(ClientFactory):
+    """The sending end to one controller; frames are dropped while there is no connection."""
+
+    noisy = False
+    def __init__(self, reactor: Any, own: str, addr: str, retry_s: float) -> None:
+        self.reactor, self.own, self.retry_s = reactor, own, retry_s
+        self.host, self.port = split_address(addr, "members.addr")
+        self.link: Any = None
+
+    def connect(self) -> None:
+        """Open the connection."""
+        self.reactor.connectTCP(self.host, self.port, self, timeout=3 * self.retry_s)
+
+    def buildProtocol(self, addr: Any) -> Protocol:
+        """Greet once connected."""
+        factory = self
+
+        class Link(Protocol):
+            def connectionMade(self) -> None:
+                factory.link = self.transport
+                factory.link.setTcpNoDelay(True)
+                factory.link.write(peer.pack(peer.Hello(factory.own)))
+
+        return Link()
+
+    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
+        """Try again soon."""
+        self._again()
+
+    def clientConnectionLost(self, connector: Any, reason: Any) -> None:
+        """Try again soon."""
+        self.link = None
+        self._again()
+
+    def _again(self) -> None:
+        self.reactor.callLater(self.retry_s, self.connect)
+
+    def send(self, data: bytes) -> None:
+        """Send bytes if there is a connection."""
+        if self.link is not None:
+            self.link.write(data)
+
+
+class Peers:
+    """All links of this controller."""
+
+    def __init__(
+        self, reactor: Any, own: str, listen: str, members: dict[str, str],
+        received: Received, retry_s: float,
+    ) -> None:
+        self.reactor = reactor
+        self.host, self.port = split_address(listen, "internal_addr")
+        self.incoming = IncomingFactory(set(members), received)
+        self.outgoing = {
+            name: Outgoing(reactor, own, addr, retry_s) for name, addr in members.items()
+        }
+
+    def start(self) -> None:
+        """Listen and connect."""
+        self.reactor.listenTCP(self.port, self.incoming, interface=self.host)
+        for link in self.outgoing.values():
+            link.connect()
+
+    def send(self, member: str, frame: peer.Frame) -> None:
+        """Send a frame to one member."""
+        self.outgoing[member].send(peer.pack(frame))
--- a/src/copperpass/net/service.py
+++ b/src/copperpass/net/service.py
@@ -12,7 +12,9 @@
 from copperpass.core.node import Node
 from copperpass.core.ports import Call, Outcome
 from copperpass.net.client import Client
+from copperpass.net.peers import Peers
 from copperpass.net.server import ApiFactory
+from copperpass.peer import Frame
 from copperpass.settings import Settings, split_address
 
 logger = logging.getLogger("copperpass")
@@ -24,20 +26,26 @@
 
     def __init__(self, settings: Settings, reactor: Any) -> None:
         self.settings, self.reactor = settings, reactor
-        self.node = Node(settings, int.from_bytes(os.urandom(8), "big"))
+        self.now = time.monotonic
+        self.node = Node(settings, int.from_bytes(os.urandom(8), "big"), self.now())
+        self.peers = Peers(
+            reactor, settings.name, settings.peer_listen,
+            {m.name: m.addr for m in settings.members}, self._received,
+            self.node.times.promise / 4,
+        )
         self.client = Client(reactor, 8)
         self.addresses = {
             "state": settings.services.state, "cloud": settings.services.cloud,
         }
         self.tick_s = min(0.1, settings.cluster.workers.report_s / 20)
         self.soon: Any = None
-        self.now = time.monotonic
 
     def start(self) -> None:
         """Listen and begin to tick."""
         host, port = split_address(self.settings.listen, "serve_on")
         factory = ApiFactory(self, self.reactor)
         self.reactor.listenTCP(port, factory, backlog=200, interface=host)
+        self.peers.start()
         logger.info(
             "started", extra={"fields": {"version": __version__, "listen": self.settings.listen}}
         )
@@ -58,6 +66,13 @@
             logger.exception("tick failed")
         self._drain()
 
+    def _received(self, sender: str, frame: Frame) -> None:
+        try:
+            self.node.received(self.now(), sender, frame)
+        except Exception:
+            logger.exception("frame failed")
+        self._drain()
+
     def _round_soon(self) -> None:
         """Gather what comes in close together into one round."""
         steward = self.node.steward
@@ -104,10 +119,13 @@
 
     def _drain(self) -> None:
         out = self.node.out
-        while out.calls or out.replies or out.logs:
+        while out.calls or out.replies or out.logs or out.frames:
             logs, out.logs = out.logs, []
             for level, event, fields in logs:
                 logger.log(LEVELS[level], event, extra={"fields": fields})
+            frames, out.frames = out.frames, []
+            for member, frame in frames:
+                self.peers.send(member, frame)
             replies, out.replies = out.replies, []
             for reply in replies:
                 request: Any = reply.request
@@ -120,6 +138,8 @@
     def _send(self, call: Call) -> None:
         def done(status: int, body: bytes) -> None:
             try:
+                if call.service == "state" and status in (200, 404, 409):
+                    self.node.state_answered(self.now())
                 call.then(self.now(), Outcome(status, body))
             except Exception:
                 logger.exception("an answer could not be handled")
--- a/src/copperpass/wire.py
+++ b/src/copperpass/wire.py
@@ -285,9 +285,10 @@
 
 
 class TokenRecord(msgspec.Struct):
-    """The token counter."""
+    """The token counter, and who won the last token."""
 
     token: int
+    member: str = ""
 
 
 class FleetRecord(msgspec.Struct):
