--- a/src/copperpass/core/node.py
+++ b/src/copperpass/core/node.py
@@ -5,10 +5,12 @@
 import random
 from typing import Any
 
+import msgspec
+
 from copperpass import peer, wire
 from copperpass.core.authority import LEAD, TOKEN, Authority, times_of
 from copperpass.core.jobs import LIVE, JobTable
-from copperpass.core.ledger import Ledger
+from copperpass.core.ledger import Ledger, Op
 from copperpass.core.ports import Call, Outbox, Outcome
 from copperpass.core.steward import FLEET, Steward
 from copperpass.core.users import UserDesk
@@ -16,6 +18,7 @@
 from copperpass.settings import Settings
 
 SHUN_PER_LEASE = 1.0
+TYPES = "c/types"
 
 
 class Node:
@@ -51,6 +54,7 @@
         self.types: dict[str, wire.MachineType] = {}
         self.next_types = 0.0
         self.fetching_types = False
+        self.stored_types = b""
 
     # -- inputs ------------------------------------------------------------------------
 
@@ -61,6 +65,9 @@
             self.authority.known = True
         self.authority.tick(now)
         self.ledger.pump(now)
+        if self.steward is not None and not self.stored_types and self.types:
+            # Refetch at once so that the first leader stores the offer.
+            self.next_types = min(self.next_types, now + self.ttl)
         if not self.fetching_types and now >= self.next_types:
             self._fetch_types(now)
         steward = self.steward
@@ -128,6 +135,13 @@
     def _saw(self, now: float, key: str, raw: bytes | None, version: int) -> None:
         if key in (LEAD, TOKEN):
             self.authority.saw(now, key, raw, version)
+        elif key == TYPES and raw is not None:
+            # A node that has just started can judge submissions and command workers before
+            # the cloud has answered it.
+            offer = wire.decode(raw, wire.MachineTypes)
+            self.stored_types = raw
+            if offer is not None and not self.types:
+                self._use_types(offer)
         elif key.startswith(LIVE):
             job, over = self.jobs.saw(now, key, raw, version)
             if self.steward is not None:
@@ -202,12 +216,24 @@
             if offer is None:
                 self.next_types = n + 1.0 + self.rng.random()
                 return
-            first = not self.types
-            self.types.update({t.name: t for t in offer.types})
-            self.desk.types = self.types
-            if first and self.steward is not None:
-                self.steward.boot_s = max(t.boot_s for t in self.types.values())
+            self._use_types(offer)
+            self._store_types(n, offer)
             # Only the leader needs prices that follow the market.
             self.next_types = n + (30.0 if self.steward is not None else 300.0)
 
         self.out.calls.append(Call("cloud", "GET", wire.PATH_TYPES, then, b"", 3.0))
+
+    def _use_types(self, offer: wire.MachineTypes) -> None:
+        self.types.update({t.name: t for t in offer.types})
+        self.desk.types = self.types
+        if self.steward is not None:
+            self.steward.boot_s = max(t.boot_s for t in self.types.values())
+
+    def _store_types(self, now: float, offer: wire.MachineTypes) -> None:
+        if self.steward is None or len(self.stored_types) > 0:
+            return
+        self.ledger.submit(
+            now,
+            Op({TOKEN: self.authority.win_revision}, [wire.put(TYPES, msgspec.to_builtins(offer))],
+               lambda n, how, rev: None, now + self.ttl),
+        )
--- a/src/copperpass/core/steward.py
+++ b/src/copperpass/core/steward.py
@@ -538,7 +538,7 @@
             self._scan(now)
         if now >= self.next_list and not self.listing:
             self._list(now)
-        if now >= self.next_plan:
+        if now >= self.next_plan and self.types:
             self.next_plan = now + max(0.5, 2.0 / self.cluster.cloud.rps)
             self._plan(now)
         if self.dirty and now >= self.next_round:
