--- /dev/null
+++ b/tests/test_authority.py
@@ -0,0 +1,214 @@
+"""A seeded model of the election: never two authorities at once, whatever fails."""
+
+import dataclasses
+import json
+import random
+
+import pytest
+
+from copperpass import settings as settings_module
+from copperpass.core.authority import Authority, Times, times_of
+from copperpass.core.ledger import Ledger
+from copperpass.core.ports import Outbox, Outcome
+from copperpass.settings import SettingsError
+from tests.world import State, raw_settings
+
+
+class Model:
+    """Election cores alone: drifting clocks, hangs, restarts, held and late messages."""
+
+    def __init__(self, seed, times=None, own_times=None, names=("a", "b", "c")):
+        self.rng = random.Random(seed)
+        self.now, self.queue = 50.0, []
+        self.names = list(names)
+        self.times = times or times_of(settings_module.parse(raw_settings()).cluster)
+        self.own_times = own_times or {}
+        self.state = State(self)
+        self.nodes, self.rate, self.hung = {}, {}, {}
+        self.refused, self.cuts = set(), set()
+        self.most, self.led, self.bridges = 0, set(), 0
+        self.seen = {}
+        for name in self.names:
+            self.rate[name] = 1 + self.rng.uniform(0, 0.0005)
+            self.hung[name] = 0.0
+            self.boot(name)
+
+    def clock(self, name):
+        return self.now * self.rate[name]
+
+    def after(self, delay, action):
+        self.queue.append((self.now + delay, self.rng.random(), action))
+
+    def wrote(self, writes):
+        pass
+
+    def boot(self, name):
+        out = Outbox()
+        ledger = Ledger(out, 1000.0, 16, self.times.ttl / 3)
+        others = [n for n in self.names if n != name]
+        times = self.own_times.get(name, self.times)
+        self.nodes[name] = Authority(
+            name, others, times, out, ledger, self.rng, lambda *a: None, self.clock(name))
+        self.seen[name] = 0
+
+    def step(self, seconds=0.05):
+        self.now += seconds
+        self.state.expire()
+        due = [q for q in self.queue if q[0] <= self.now]
+        self.queue = [q for q in self.queue if q[0] > self.now]
+        for _, _, action in sorted(due, key=lambda q: q[:2]):
+            action()
+        for name in self.names:
+            if self.now >= self.hung[name]:
+                self.watch(name)
+                node = self.nodes[name]
+                node.tick(self.clock(name))
+                node.ledger.pump(self.clock(name))
+                self.drain(name)
+        entitled = [n for n in self.names
+                    if self.nodes[n].entitled(self.clock(n))]
+        self.most = max(self.most, len(entitled))
+        self.led.update(entitled)
+        self.bridges += sum(1 for n in entitled if self.nodes[n].bridging(self.clock(n)))
+
+    def watch(self, name):
+        if self.state.down or name in self.refused:
+            return
+        node, at = self.nodes[name], self.clock(name)
+        for revision, key, value in self.state.log:
+            if revision > self.seen[name]:
+                raw = None if value is None else json.dumps(value).encode()
+                node.saw(at, key, raw, revision)
+        self.seen[name] = self.state.revision
+        node.known = True
+
+    def drain(self, name):
+        node = self.nodes[name]
+        frames, node.out.frames = node.out.frames, []
+        for member, frame in frames:
+            if frozenset((name, member)) not in self.cuts:
+                late = self.rng.random() < 0.05
+                delay = self.rng.uniform(0.5, 6.0) if late else self.rng.uniform(0.0, 0.1)
+                self.after(delay, lambda m=member, f=frame: self.deliver(name, m, f))
+        calls, node.out.calls = node.out.calls, []
+        for call in calls:
+            self.call(name, node, call)
+
+    def deliver(self, sender, member, frame):
+        if self.now < self.hung[member]:
+            self.after(self.hung[member] - self.now, lambda: self.deliver(sender, member, frame))
+            return
+        self.nodes[member].received(self.clock(member), sender, frame)
+        self.drain(member)
+
+    def call(self, name, node, call):
+        over = []
+
+        def finish(status, body):
+            if self.now < self.hung[name]:
+                self.after(self.hung[name] - self.now, lambda: finish(status, body))
+            elif not over and self.nodes[name] is node:
+                over.append(True)
+                call.then(self.clock(name), Outcome(status, body))
+                self.drain(name)
+
+        def arrive():
+            if name in self.refused or self.state.down:
+                finish(503, b"{}")
+                return
+            self.state.handle(call.method, call.path, call.body, lambda s, b: self.after(
+                self.rng.uniform(0, 0.1), lambda: finish(s, b)))
+
+        late = self.rng.random() < 0.05
+        self.after(self.rng.uniform(1.0, 8.0) if late else self.rng.uniform(0, 0.1), arrive)
+        self.after(call.timeout, lambda: finish(0, b""))
+
+    def trouble(self):
+        act = self.rng.random()
+        name = self.rng.choice(self.names)
+        if act < 0.25:
+            self.boot(name)
+        elif act < 0.45:
+            self.hung[name] = self.now + self.rng.uniform(0.2, 8.0)
+        elif act < 0.65:
+            self.refused = {name} if self.rng.random() < 0.7 else set()
+        elif act < 0.8:
+            self.cuts = {frozenset(self.rng.sample(self.names, 2))}
+        elif act < 0.9:
+            self.state.down = not self.state.down
+        else:
+            self.cuts, self.refused, self.state.down = set(), set(), False
+
+    def play(self, steps=2500):
+        for step in range(steps):
+            if step % 60 == 59:
+                self.trouble()
+            self.step()
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_never_two_authorities(seed):
+    model = Model(seed)
+    model.play()
+    assert model.most == 1
+
+
+def test_changes_and_bridges_are_played_at_all():
+    bridges = moved = 0
+    for seed in range(12):
+        model = Model(seed)
+        model.play(1500)
+        bridges += model.bridges
+        moved += len(model.led) - 1
+    assert bridges > 50 and moved > 6
+
+
+def test_the_model_bites_when_members_keep_promises_for_too_short():
+    # Members that keep a promise for a tenth of what the leader counts on: the inequality that
+    # Times can't express, since one figure serves both sides, broken on purpose.
+    twice = 0
+    for seed in range(12):
+        short = times_of(settings_module.parse(raw_settings()).cluster)
+        short = dataclasses.replace(short, promise=short.promise / 10)
+        model = Model(seed, own_times={"b": short, "c": short})
+        model.play()
+        twice += model.most > 1
+    assert twice > 0
+
+
+def test_the_model_bites_when_campaigns_ignore_promises(monkeypatch):
+    monkeypatch.setattr(Authority, "_may_campaign", lambda self, now: True)
+    twice = 0
+    for seed in range(12):
+        model = Model(seed)
+        model.play()
+        twice += model.most > 1
+    assert twice > 0
+
+
+@pytest.mark.parametrize(
+    ("change", "word"),
+    [
+        ({"promise": 99.0}, "promise"),
+        ({"lease": 3.0}, "lease_s"),
+        ({"bridge": 39.0}, "cancel_s"),
+    ],
+)
+def test_lengths_that_break_the_argument_are_refused(change, word):
+    good = Times(ttl=3.0, promise=1.0, bridge=20.0, lease=12.0, cancel=40.0)
+    good.check()
+    with pytest.raises(SettingsError, match=word):
+        dataclasses.replace(good, **change).check()
+
+
+def test_an_earlier_run_of_the_same_member_is_ended_at_once():
+    model = Model(3)
+    for _ in range(200):
+        model.step()
+    (leader,) = model.led
+    before = model.nodes[leader].token
+    model.boot(leader)
+    for _ in range(20):
+        model.step()
+    assert model.nodes[leader].entitled(model.clock(leader)), "no need to wait for the key's end"
+    assert model.nodes[leader].token > before
--- /dev/null
+++ b/tests/test_peer.py
@@ -0,0 +1,43 @@
+"""Frames between controllers, and bytes that are none."""
+
+import random
+import struct
+
+import pytest
+
+from copperpass import peer
+
+FRAMES = [
+    peer.Hello("n1"), peer.Beat(7, 12, peer.NEVER), peer.Ask(7, 9), peer.Promise(7, 9, True),
+    peer.Promise(7, 9, False), peer.Counts({"req-000001": 3, "req-000002": 1}), peer.Counts({}),
+]
+
+
+def test_frames_survive_any_cutting():
+    data = b"".join(peer.pack(f) for f in FRAMES)
+    rng = random.Random(3)
+    for _ in range(50):
+        unpacker, got, at = peer.Unpacker(), [], 0
+        while at < len(data):
+            size = rng.randint(1, 9)
+            got += unpacker.feed(data[at : at + size])
+            at += size
+        assert got == FRAMES
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\n",
+        struct.pack("!2sBBH", b"cp", 2, peer.ASK, 16) + bytes(16),
+        struct.pack("!2sBBH", b"cp", 1, 99, 0),
+        struct.pack("!2sBBH", b"cp", 1, peer.ASK, 3) + b"abc",
+        struct.pack("!2sBBH", b"cp", 1, peer.ASK, 17) + bytes(17),
+        struct.pack("!2sBBH", b"cp", 1, peer.PROMISE, 17) + bytes(16) + b"\x07",
+        struct.pack("!2sBBH", b"cp", 1, peer.COUNTS, 6) + b"\x09\x00\x00\x00\x01x",
+        struct.pack("!2sBBH", b"cp", 1, peer.HELLO, 1) + b"\xff",
+    ],
+)
+def test_bad_bytes_are_refused(data):
+    with pytest.raises(peer.BadFrame):
+        peer.Unpacker().feed(data)
--- /dev/null
+++ b/tests/test_steward.py
@@ -0,0 +1,194 @@
+"""A task is where it may be: what a leader concludes from reports, answers and silence."""
+
+import json
+import random
+
+import pytest
+
+from copperpass import settings as settings_module
+from copperpass import wire
+from copperpass.core.jobs import JobTable
+from copperpass.core.ledger import Ledger
+from copperpass.core.ports import Outbox, Outcome
+from copperpass.core.steward import TOKEN_SHIFT, Steward
+from tests.world import TYPE, job, raw_settings
+
+
+class Bench:
+    """A leader with one machine, driven by hand."""
+
+    def __init__(self):
+        cluster = settings_module.parse(raw_settings()).cluster
+        self.out, self.jobs, self.now = Outbox(), JobTable(), 10.0
+        ledger = Ledger(self.out, 60.0, 16, 1.0)
+        types = {"box": wire.decode(json.dumps({"racks": [TYPE]}).encode(), wire.MachineTypes)
+                 .types[0]}
+        self.steward = Steward(
+            cluster, self.out, ledger, self.jobs, types, {}, 1, 50, lambda now: True,
+            self.now, random.Random(1))
+        self.steward.begin(self.now)
+        self.seq = 0
+        self.token = 1 << TOKEN_SHIFT
+        self.report([], token=0)
+        self.answer_state()
+        self.report([])
+
+    def report(self, tasks, token=None, session=1, seq=None):
+        self.now += 1.0
+        if seq is None:
+            self.seq += 1
+            seq = self.seq
+        return self.steward.report(self.now, self.message(tasks, token, session, seq))
+
+    def message(self, tasks, token=None, session=1, seq=0):
+        return wire.Report(
+            "m-1", "10.0.0.9:1", "box", "a", True, session, seq,
+            self.token if token is None else token, None,
+            [wire.TaskReport(t, a, s, w) for t, a, s, w in tasks])
+
+    def answer_state(self, status=200):
+        for call in self.take("state"):
+            call.then(self.now, Outcome(status, b'{"issue":60}'))
+
+    def take(self, service):
+        found = [c for c in self.out.calls if c.service == service]
+        self.out.calls[:] = [c for c in self.out.calls if c.service != service]
+        return found
+
+    def add(self, number=1, tasks=1, version=70):
+        record = json.dumps({"spec": job(number, tasks=tasks)}).encode()
+        self.jobs.saw(self.now, f"c/live/req-{number:06d}", record, version)
+
+    def start(self, tasks=1):
+        self.add(tasks=tasks)
+        self.steward.round(self.now)
+        (call,) = self.take("worker")
+        orders = json.loads(call.body)["orders"]
+        assert [o["verb"] for o in orders] == ["run"] * tasks
+        return call, orders[0]["take"]
+
+    @property
+    def job(self):
+        return self.jobs.jobs["req-000001"]
+
+
+def test_an_unanswered_start_stays_possible_until_a_higher_token_is_seen():
+    bench = Bench()
+    call, _ = bench.start()
+    call.then(bench.now, Outcome(0))
+    answer = bench.report([])
+    assert bench.job.placed == {0: "m-1"}, "an old token's report proves nothing"
+    assert answer.token > bench.token
+    bench.token = answer.token
+    bench.report([])
+    assert bench.job.placed == {} and bench.job.peek() == 0
+
+
+def test_a_refused_start_is_free_at_once():
+    bench = Bench()
+    call, _ = bench.start()
+    call.then(bench.now, Outcome(409, wire.encode(bench.message([], seq=bench.seq + 1))))
+    assert bench.job.placed == {}
+
+
+def test_a_start_sent_with_an_answer_is_judged_by_the_next_report_only():
+    bench = Bench()
+    bench.add()
+    machine = bench.steward.machines["m-1"]
+    machine.do_broken_until = bench.now + 100
+    bench.steward.round(bench.now)
+    assert bench.take("worker") == []
+    answer = bench.report([])
+    assert [c.op for c in answer.commands] == [wire.START]
+    direct = bench.message([], seq=bench.seq + 1)
+    bench.steward._take(bench.now, machine, direct, False)
+    assert bench.job.placed == {0: "m-1"}, "an answer of /do may be older than the start"
+    bench.seq += 1
+    bench.report([])
+    assert bench.job.placed == {}
+
+
+def test_an_old_report_changes_nothing():
+    bench = Bench()
+    _, attempt = bench.start()
+    bench.report([("req-000001/0", attempt, "running", None)])
+    late = bench.report([], seq=1)
+    assert late.commands == [] and bench.job.placed == {0: "m-1"}
+
+
+def test_done_is_cleared_only_when_stored_and_past_repeats_of_its_start():
+    bench = Bench()
+    call, attempt = bench.start()
+    ended = [("req-000001/0", attempt, "exited", "done")]
+    call.then(bench.now, Outcome(200, wire.encode(
+        bench.message([("req-000001/0", attempt, "running", None)], seq=bench.seq + 1))))
+    bench.seq += 1
+    answer = bench.report(ended)
+    assert answer.commands == []
+    bench.answer_state(0)
+    assert bench.report(ended).commands == [], "no answer: it may not be stored"
+    bench.steward._store(bench.now, bench.job)
+    bench.answer_state(200)
+    answer = bench.report(ended)
+    assert answer.commands == [] and answer.token > bench.token
+    bench.token = answer.token
+    assert [c.op for c in bench.report(ended).commands] == [wire.FORGET]
+
+
+def test_a_cancelled_job_is_killed_at_once_and_again_until_gone():
+    bench = Bench()
+    call, attempt = bench.start()
+    running = [("req-000001/0", attempt, "running", None)]
+    call.then(bench.now, Outcome(200, wire.encode(bench.message(running, seq=bench.seq + 1))))
+    bench.seq += 1
+    gone, over = bench.jobs.saw(bench.now, "c/live/req-000001", None, 80)
+    assert over
+    bench.steward.job_over(bench.now, gone)
+    (kill,) = bench.take("worker")
+    assert json.loads(kill.body)["orders"][0]["verb"] == wire.STOP
+    kill.then(bench.now, Outcome(0))
+    for _ in range(2):
+        assert [c.op for c in bench.report(running).commands] == [wire.STOP]
+
+
+def test_the_machine_is_deleted_before_its_tasks_are_free():
+    bench = Bench()
+    _, attempt = bench.start()
+    bench.report([("req-000001/0", attempt, "running", None)])
+    machine = bench.steward.machines["m-1"]
+    bench.steward._release(bench.now, [machine])
+    (call,) = bench.take("cloud")
+    call.then(bench.now, Outcome(0))
+    assert bench.job.placed == {0: "m-1"}
+    call.then(bench.now, Outcome(200, b"{}"))
+    assert bench.job.placed == {} and "m-1" not in bench.steward.machines
+
+
+def test_work_of_the_lease_ends_with_the_lease_not_before():
+    bench = Bench()
+    _, attempt = bench.start()
+    bench.report([("req-000001/0", attempt, "running", None)])
+    at = bench.now
+    bench.steward._scan(at + 11.9)
+    assert bench.job.placed == {0: "m-1"}
+    bench.steward._scan(at + 12.2)
+    assert bench.job.placed == {}
+
+
+def test_a_higher_authority_is_not_talked_over():
+    bench = Bench()
+    assert bench.report([], token=2 << TOKEN_SHIFT) is None
+
+
+@pytest.mark.parametrize("why", ["no_room", "in_use", "unknown", "error"])
+def test_a_refused_or_failed_attempt_is_tried_again_under_another_number(why):
+    bench = Bench()
+    call, attempt = bench.start()
+    ended = [("req-000001/0", attempt, "exited", why)]
+    call.then(bench.now, Outcome(200, wire.encode(bench.message(ended, seq=bench.seq + 1))))
+    bench.seq += 1
+    bench.now += 60.0
+    bench.report(ended)
+    bench.steward.round(bench.now)
+    (again,) = bench.take("worker")
+    assert json.loads(again.body)["orders"][0]["take"] > attempt
