--- a/src/copperpass/cli.py
+++ b/src/copperpass/cli.py
@@ -6,7 +6,9 @@
 import sys
 
 from copperpass import __version__
+from copperpass.core.authority import times_of
 from copperpass.settings import SettingsError, load
+from copperpass.tuning import Tuning, load_tuning
 
 
 def parser() -> argparse.ArgumentParser:
@@ -18,6 +20,10 @@
     )
     made.add_argument("--version", action="version", version=f"copperpass {__version__}")
     made.add_argument("--config", required=True, metavar="FILE", help="the settings file (TOML)")
+    made.add_argument(
+        "--operator", metavar="FILE",
+        help="the operators' own settings (protobuf text format, see operator.proto)",
+    )
     made.add_argument(
         "--check", action="store_true", help="check the settings and exit without starting"
     )
@@ -29,6 +35,10 @@
     args = parser().parse_args(argv)
     try:
         settings = load(args.config)
+        times_of(settings.cluster)
+        tuning = Tuning()
+        if args.operator:
+            tuning = load_tuning(args.operator)
     except SettingsError as error:
         print(f"copperpass: settings: {error}", file=sys.stderr)
         return 2
@@ -39,5 +49,5 @@
     from copperpass.net.service import run
 
     setup(settings.name)
-    run(settings)
+    run(settings, tuning)
     return 0
--- a/src/copperpass/core/node.py
+++ b/src/copperpass/core/node.py
@@ -16,6 +16,7 @@
 from copperpass.core.users import UserDesk
 from copperpass.core.view import View
 from copperpass.settings import Settings
+from copperpass.tuning import Tuning
 
 SHUN_PER_LEASE = 1.0
 TYPES = "c/types"
@@ -24,10 +25,13 @@
 class Node:
     """Takes inputs; leaves calls, replies and log lines in its outbox."""
 
-    def __init__(self, settings: Settings, seed: int, now: float) -> None:
+    def __init__(
+        self, settings: Settings, seed: int, now: float, tuning: Tuning | None = None
+    ) -> None:
         cluster = settings.cluster
         self.settings, self.cluster = settings, cluster
         self.rng = random.Random(seed)
+        self.tuning = tuning or Tuning()
         self.out = Outbox()
         self.times = times_of(cluster)
         self.ttl = self.times.ttl
@@ -178,7 +182,7 @@
         authority = self.authority
         self.steward = Steward(
             self.cluster, self.out, self.ledger, self.jobs, self.types, self.records,
-            authority.token, authority.win_revision, authority.entitled, now, self.rng,
+            authority.token, authority.win_revision, authority.entitled, now, self.rng, self.tuning,
         )
 
     def _mind_isolation(self, now: float, steward: Steward) -> None:
--- a/src/copperpass/core/rental.py
+++ b/src/copperpass/core/rental.py
@@ -10,7 +10,6 @@
 from copperpass.core.fleet import Machine, allows, type_fits
 from copperpass.core.jobs import Job
 
-PATIENT_BOOTS = 1.2
 Place = tuple[str, str, bool]
 
 
@@ -160,6 +159,7 @@
     warm_cpus: float,
     now: float,
     silence: float,
+    patient_boots: float,
 ) -> dict[Place, int]:
     """Machines to rent for the tasks that wait, and for the room that must stay warm."""
     rooms = rooms_of(machines, now, silence)
@@ -189,7 +189,7 @@
                 break
         while left > 0 and sum(wanted.values()) < 50:
             # Work that can wait for longer than a boot asks only for the cheap kind at first.
-            patient = horizon > PATIENT_BOOTS * max(t.boot_s for t in types.values())
+            patient = horizon > patient_boots * max(t.boot_s for t in types.values())
             place = choose_place(spec, left, types, zones, refusals, now, patient and spec.spot)
             if place is None:
                 break
--- a/src/copperpass/core/steward.py
+++ b/src/copperpass/core/steward.py
@@ -17,13 +17,12 @@
 from copperpass.core.ledger import APPLIED, Ledger, Op
 from copperpass.core.ports import NO_ANSWER, Call, Outbox, Outcome
 from copperpass.settings import Cluster
+from copperpass.tuning import Tuning
 
 FLEET = "c/m/"
 TOKEN_SHIFT = 20
 ATTEMPT_SHIFT = 16
 GHOST = "?"
-# The warm room is the peak of the demand that can't wait for a boot, over this many boot times.
-WARM_BOOTS = 2.0
 
 
 class Steward:
@@ -42,6 +41,7 @@
         entitled: Callable[[float], bool],
         now: float,
         rng: random.Random,
+        tuning: Tuning | None = None,
     ) -> None:
         self.cluster, self.out, self.ledger, self.jobs = cluster, out, ledger, jobs
         self.types, self.records = types, records
@@ -50,6 +50,7 @@
         self.base_token = token << TOKEN_SHIFT
         self.entitled = entitled
         self.rng = rng
+        self.tuning = tuning or Tuning()
         self.won_at = now
         self.ready = False
         self.machines: dict[str, Machine] = {}
@@ -59,7 +60,7 @@
         self.dirty = False
         self.report_s = cluster.workers.report_s
         self.lease_s = cluster.workers.lease_s * (1 + 4 * DRIFT) + 0.05 * self.report_s
-        self.silence = 2.5 * self.report_s
+        self.silence = self.tuning.silence_reports * self.report_s
         self.last_report = now
         self.team_used: dict[str, tuple[float, float]] = {}
         self.allocations: allocation.Allocation | None = None
@@ -68,7 +69,7 @@
         }
         self.refusals = rental.Refusals()
         self.boot_s = max((t.boot_s for t in types.values()), default=20.0)
-        self.peak = rental.Peak(WARM_BOOTS * self.boot_s)
+        self.peak = rental.Peak(self.tuning.warm_window_boots * self.boot_s)
         self.booking = 0
         self.renting: dict[rental.Place, int] = {}
         self.next_list = now
@@ -691,7 +692,7 @@
             running[name] += 1
         for machine in touched.values():
             self._send_direct(now, machine)
-        if stuck:
+        if stuck and self.tuning.preemption:
             self._preempt(now, stuck, usable, used)
         # The next round comes sooner when idle and later under load: a batch widens with it.
         backlog = sum(len(q) for q in queues.values())
@@ -795,7 +796,7 @@
         if not self.unsettled:
             wanted = rental.plan(
                 waiting, self.machines, self.types, self.aims, self.refusals, warm, now,
-                self.silence,
+                self.silence, self.tuning.patient_boots,
             )
             for place, count in wanted.items():
                 if self.renting.get(place, 0) == 0:
@@ -803,7 +804,9 @@
         if now >= self.next_summary:
             self.next_summary = now + 5 * self.report_s
             self._summary(now, warm, tight)
-        back = rental.to_return(self.machines, warm, now, 0.5 * self.boot_s)
+        back = rental.to_return(
+            self.machines, warm, now, self.tuning.idle_boots * self.boot_s
+        )
         if back:
             self._release(now, back[:100])
 
--- a/src/copperpass/net/service.py
+++ b/src/copperpass/net/service.py
@@ -16,6 +16,7 @@
 from copperpass.net.server import ApiFactory
 from copperpass.peer import Frame
 from copperpass.settings import Settings, split_address
+from copperpass.tuning import Tuning
 
 logger = logging.getLogger("copperpass")
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
@@ -24,10 +25,10 @@
 class Service:
     """One running controller."""
 
-    def __init__(self, settings: Settings, reactor: Any) -> None:
+    def __init__(self, settings: Settings, tuning: Tuning, reactor: Any) -> None:
         self.settings, self.reactor = settings, reactor
         self.now = time.monotonic
-        self.node = Node(settings, int.from_bytes(os.urandom(8), "big"), self.now())
+        self.node = Node(settings, int.from_bytes(os.urandom(8), "big"), self.now(), tuning)
         self.peers = Peers(
             reactor, settings.name, settings.peer_listen,
             {m.name: m.addr for m in settings.members}, self._received,
@@ -149,11 +150,11 @@
         self.client.call(call.method, address, call.path, call.body, call.timeout, done)
 
 
-def run(settings: Settings) -> None:
+def run(settings: Settings, tuning: Tuning) -> None:
     """Run a controller until the process is ended."""
     from twisted.internet import reactor
 
-    service = Service(settings, reactor)
+    service = Service(settings, tuning, reactor)
     any_reactor: Any = reactor
     # Timers must follow the steady clock: the time of day wanders.
     any_reactor.seconds = time.monotonic
--- /dev/null
+++ b/src/copperpass/tuning.py
@@ -0,0 +1,50 @@
+"""Operators' own settings: defaults, bounds, and reading them from protobuf text format."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, fields
+
+from copperpass.settings import SettingsError
+
+
+@dataclass(frozen=True, slots=True)
+class Tuning:
+    """What operators may set; see operator.proto for the meanings."""
+
+    warm_window_boots: float = 2.0
+    idle_boots: float = 0.5
+    patient_boots: float = 1.2
+    silence_reports: float = 2.5
+    preemption: bool = True
+
+
+BOUNDS = {
+    "warm_window_boots": (0.1, 100.0),
+    "idle_boots": (0.0, 100.0),
+    "patient_boots": (0.0, 100.0),
+    "silence_reports": (1.5, 20.0),
+}
+
+
+def load_tuning(path: str) -> Tuning:
+    """Read and check an operators' file; protobuf is imported only here."""
+    from google.protobuf import text_format
+
+    from copperpass.operator_pb2 import Operator  # type: ignore[attr-defined]
+
+    try:
+        with open(path, encoding="utf-8") as file:
+            message = text_format.Parse(file.read(), Operator())
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from None
+    except (text_format.ParseError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: {error}") from None
+    given = {
+        f.name: getattr(message, f.name) for f in fields(Tuning) if message.HasField(f.name)
+    }
+    for name, (low, high) in BOUNDS.items():
+        value = given.get(name)
+        if value is not None and not (math.isfinite(value) and low <= value <= high):
+            raise SettingsError(f"{path}: {name}: must be from {low} to {high}, got {value}")
+    return Tuning(**given)
