--- a/src/copperpass/core/rental.py
+++ b/src/copperpass/core/rental.py
@@ -55,6 +55,17 @@
         return self.samples[0][1] if self.samples else 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Warm:
+    """CPUs to keep up for demand that can't wait for a boot.
+
+    Room on cheap machines is kept for longer than room on dear ones.
+    """
+
+    any: float
+    cheap: float
+
+
 @dataclass(slots=True)
 class Room:
     """What a machine offers to tasks that wait, now or within their horizon."""
@@ -156,7 +167,7 @@
     types: dict[str, wire.MachineType],
     aims: Aims,
     refusals: Refusals,
-    warm_cpus: float,
+    warm: Warm,
     now: float,
     silence: float,
     patient_boots: float,
@@ -195,17 +206,18 @@
                 break
             left -= rent(place).take(spec, left, horizon)
     total = sum(room.type.cpus for room in rooms)
-    while total < warm_cpus and sum(wanted.values()) < 50:
-        place = choose_place(None, 1, types, zones, refusals, now, False)
-        if place is None:
-            break
-        total += rent(place).type.cpus
+    for cpus, spot_only in ((warm.any, False), (warm.cheap, True)):
+        while total < cpus and sum(wanted.values()) < 50:
+            place = choose_place(None, 1, types, zones, refusals, now, spot_only)
+            if place is None:
+                break
+            total += rent(place).type.cpus
     return wanted
 
 
 def to_return(
     machines: dict[str, Machine],
-    warm_cpus: float,
+    warm: Warm,
     now: float,
     idle_limit: float,
 ) -> list[Machine]:
@@ -225,9 +237,10 @@
 
     chosen = []
     for m in sorted(idle, key=dearness):
-        if m.fenced or m.notice_until is not None or total - m.type.cpus >= warm_cpus:
-            if m.notice_until is not None:
-                continue
+        if m.notice_until is not None:
+            # It goes by itself, and is not charged for longer than it is there.
+            continue
+        if m.fenced or total - m.type.cpus >= (warm.cheap if m.spot else warm.any):
             chosen.append(m)
             total -= m.type.cpus
     return chosen
--- a/src/copperpass/core/steward.py
+++ b/src/copperpass/core/steward.py
@@ -70,6 +70,7 @@
         self.refusals = rental.Refusals()
         self.boot_s = max((t.boot_s for t in types.values()), default=20.0)
         self.peak = rental.Peak(self.tuning.warm_window_boots * self.boot_s)
+        self.cheap_peak = rental.Peak(self.tuning.cheap_window_boots * self.boot_s)
         self.booking = 0
         self.renting: dict[rental.Place, int] = {}
         self.next_list = now
@@ -792,7 +793,8 @@
                 demand[spec.team] += len(job.placed) * spec.cpus
         limit = sum(t.cpus_max for t in self.cluster.teams)
         self.peak.add(now, min(tight, limit))
-        warm = self.peak.value()
+        self.cheap_peak.add(now, min(tight, limit))
+        warm = rental.Warm(self.peak.value(), self.cheap_peak.value())
         if not self.unsettled:
             wanted = rental.plan(
                 waiting, self.machines, self.types, self.aims, self.refusals, warm, now,
@@ -803,7 +805,7 @@
                     self._rent(now, place, min(count, 50))
         if now >= self.next_summary:
             self.next_summary = now + 5 * self.report_s
-            self._summary(now, warm, tight)
+            self._summary(now, warm.any, tight)
         back = rental.to_return(
             self.machines, warm, now, self.tuning.idle_boots * self.boot_s
         )
--- a/src/copperpass/tuning.py
+++ b/src/copperpass/tuning.py
@@ -12,7 +12,8 @@
 class Tuning:
     """What operators may set; see operator.proto for the meanings."""
 
-    warm_window_boots: float = 2.0
+    warm_window_boots: float = 1.0
+    cheap_window_boots: float = 4.0
     idle_boots: float = 0.5
     patient_boots: float = 1.2
     silence_reports: float = 2.5
@@ -21,6 +22,7 @@
 
 BOUNDS = {
     "warm_window_boots": (0.1, 100.0),
+    "cheap_window_boots": (0.1, 100.0),
     "idle_boots": (0.0, 100.0),
     "patient_boots": (0.0, 100.0),
     "silence_reports": (1.5, 20.0),
