--- a/src/copperpass/core/dispatch.py
+++ b/src/copperpass/core/dispatch.py
@@ -6,7 +6,7 @@
 
 from copperpass import wire
 from copperpass.core.fleet import Machine, Placement, allows, type_fits, zone_allows
-from copperpass.core.jobs import Job
+from copperpass.core.jobs import Job, fits
 from copperpass.settings import Objective
 
 LATE = 1e6
@@ -38,15 +38,32 @@
         """When the next task must start for the nearest aim that can still be met."""
         spec = job.spec
         moments = [job.arrived + w for w in self.waits.get(spec.job_class, ())]
-        moments += [job.arrived + e - spec.estimate_s for e in self.ends.get(spec.job_class, ())]
+        ends = list(self.ends.get(spec.job_class, ()))
+        if self.guarantee is not None and job.guaranteed:
+            moments.append(job.arrived + self.guarantee)
         if spec.deadline_s is not None:
-            moments.append(job.arrived + spec.deadline_s - spec.estimate_s)
+            ends.append(spec.deadline_s)
+        # Estimates are often wrong by half and more: leave room for twice as long, if there is.
+        for end in ends:
+            moments += [job.arrived + end - n * spec.estimate_s for n in (2, 1)]
         ahead = [m for m in moments if m >= now]
         if ahead:
             return min(ahead)
         return job.arrived + LATE
 
 
+def judge_guarantees(jobs: Iterable[Job], guarantees: dict[str, float]) -> None:
+    """Note of each new job whether it fits its team's guarantee with the earlier ones."""
+    taken: dict[str, float] = {}
+    for job in sorted(jobs, key=lambda j: (j.arrived, j.created)):
+        spec = job.spec
+        total = taken.get(spec.team, 0.0) + spec.cpus * spec.tasks
+        if not job.judged:
+            job.judged = True
+            job.guaranteed = fits(total, guarantees.get(spec.team, 0.0))
+        taken[spec.team] = total
+
+
 def task_order(jobs: Iterable[Job], aims: Aims, now: float) -> list[Job]:
     """Jobs by priority, then by the nearest aim that can still be met."""
     return sorted(
@@ -62,6 +79,7 @@
     avoid: set[str],
     now: float,
     scarce: dict[str, float],
+    cheap_only: bool,
 ) -> Machine | None:
     """The machine that has the image, is cheap, and has the least room left.
 
@@ -74,6 +92,8 @@
     for machine in usable:
         if not machine.has_room(spec) or not allows(spec, machine.type, machine.zone, machine.spot):
             continue
+        if cheap_only and not machine.spot:
+            continue
         if now < machine.held_until and machine.held_for != spec.id:
             # Room that was freed by stopping tasks is for the job they were stopped for.
             continue
--- a/src/copperpass/core/jobs.py
+++ b/src/copperpass/core/jobs.py
@@ -51,8 +51,8 @@
     failed_on: set[str] = field(default_factory=set)
     failures: int = 0
     hold_until: float = 0.0
-    unknown_until: float = 0.0
-    lost_work: int = 0
+    guaranteed: bool = False
+    judged: bool = False
 
     def is_done(self, index: int) -> bool:
         """Whether the task's end is stored."""
--- a/src/copperpass/core/steward.py
+++ b/src/copperpass/core/steward.py
@@ -638,6 +638,9 @@
         )
         self.allocations = allocation.allocate(self._claims(), capacity)
         used = self._usage()
+        dispatch.judge_guarantees(
+            self.jobs.jobs.values(), {t.name: t.cpus for t in self.cluster.teams}
+        )
         running = {t.name: 0 for t in self.cluster.teams}
         queues: dict[str, list[Job]] = {t.name: [] for t in self.cluster.teams}
         for job in self.jobs.jobs.values():
@@ -669,6 +672,9 @@
                 used[name][1] + spec.gpus, team.gpus_max
             )
             machine = None
+            # Work that can wait does so for cheap room; dear room is for what can't.
+            slack = self.aims.due(job, now) - now
+            patient = spec.spot and slack > self.tuning.patient_boots * self.boot_s
             if not over:
                 shape = (spec.cpus, spec.memory_gb)
                 if shape not in scarce:
@@ -676,11 +682,11 @@
                         spec, self.jobs.jobs.values(), self.types.values(), self.boot_s / 2
                     )
                 machine = dispatch.best_machine(
-                    job, usable, self.machines, job.failed_on, now, scarce[shape]
+                    job, usable, self.machines, job.failed_on, now, scarce[shape], patient
                 )
                 if machine is None and job.failed_on:
                     machine = dispatch.best_machine(
-                        job, usable, self.machines, set(), now, scarce[shape]
+                        job, usable, self.machines, set(), now, scarce[shape], patient
                     )
             if machine is None:
                 order[name].pop(0)
@@ -778,7 +784,7 @@
             wait = self.aims.tightest_wait(spec.job_class)
             within = wait is not None and wait < self.boot_s
             if self.aims.guarantee is not None and self.aims.guarantee < self.boot_s:
-                within = True
+                within = within or job.guaranteed
             if within:
                 tight += (count + len(job.placed)) * spec.cpus
             team = self.by_team[spec.team]
