--- a/src/copperpass/core/steward.py
+++ b/src/copperpass/core/steward.py
@@ -71,6 +71,8 @@
         self.boot_s = max((t.boot_s for t in types.values()), default=20.0)
         self.peak = rental.Peak(self.tuning.warm_window_boots * self.boot_s)
         self.cheap_peak = rental.Peak(self.tuning.cheap_window_boots * self.boot_s)
+        # Whether dear machines could go back: else they stay up, and any work may use them.
+        self.dear_excess = True
         self.booking = 0
         self.renting: dict[rental.Place, int] = {}
         self.next_list = now
@@ -674,7 +676,8 @@
             machine = None
             # Work that can wait does so for cheap room; dear room is for what can't.
             slack = self.aims.due(job, now) - now
-            patient = spec.spot and slack > self.tuning.patient_boots * self.boot_s
+            can_wait = slack > self.tuning.patient_boots * self.boot_s
+            patient = self.dear_excess and spec.spot and can_wait
             if not over:
                 shape = (spec.cpus, spec.memory_gb)
                 if shape not in scarce:
@@ -809,6 +812,8 @@
             for place, count in wanted.items():
                 if self.renting.get(place, 0) == 0:
                     self._rent(now, place, min(count, 50))
+        room = sum(m.type.cpus for m in self.machines.values() if not m.releasing and not m.failed)
+        self.dear_excess = room > warm.any
         if now >= self.next_summary:
             self.next_summary = now + 5 * self.report_s
             self._summary(now, warm.any, tight)
