Remove records of machines that are gone; don't pass authority round a dead fleet

Cause 2 (found by the story for it): with the last machine dead, each leader stepped down for hearing no worker before it could replace it.

--- a/src/copperpass/core/node.py
+++ b/src/copperpass/core/node.py
@@ -51,6 +51,8 @@
         self.last_worker = float("-inf")
         self.peer_state: dict[str, float] = {}
         self.peer_worker: dict[str, float] = {}
+        self.peer_heard: dict[str, float] = {}
+        self.alone_token = -1
         self.peer_counts: dict[str, int] = {}
         self.next_beat = now
         self.next_counts = now
@@ -85,6 +87,7 @@
 
     def received(self, now: float, sender: str, frame: peer.Frame) -> None:
         """A frame from another controller."""
+        self.peer_heard[sender] = now
         if isinstance(frame, peer.Beat):
             if frame.state_age_ms != peer.NEVER:
                 self.peer_state[sender] = now - frame.state_age_ms / 1000
@@ -186,13 +189,24 @@
         )
 
     def _mind_isolation(self, now: float, steward: Steward) -> None:
-        """Step down when no worker can be heard: they may well hear the others."""
+        """Step down when no worker can be heard that others may well hear."""
         up = sum(1 for m in steward.machines.values() if m.up or m.recorded)
-        quiet = now - max(steward.last_report, steward.won_at)
+        heard = max(steward.last_report, steward.won_at)
+        quiet = now - heard
         if up and quiet > max(2.5 * self.cluster.workers.report_s, self.ttl):
             shun = self.cluster.workers.lease_s * SHUN_PER_LEASE
-            self.authority.step_down(now, "no worker heard", shun)
-        elif self.authority.bridging(now) and self._behind(now):
+            others = [at for at in self.peer_heard.values() if now - at < self.ttl]
+            # With the last machine dead no node hears a worker: to step down then would only
+            # pass the authority round, and nobody would hold it for long enough to replace it.
+            if others:
+                latest = max(self.peer_worker.values(), default=float("-inf"))
+                if latest > heard + self.cluster.workers.report_s:
+                    self.authority.step_down(now, "workers report elsewhere", shun)
+            elif self.authority.others and self.alone_token != self.authority.token - 1:
+                # Cut off from everybody. If nobody has led by the next time, there is nobody.
+                self.alone_token = self.authority.token
+                self.authority.step_down(now, "nobody heard", shun)
+        if self.authority.bridging(now) and self._behind(now):
             # The state service refuses this node alone: another can lead with it.
             self.authority.step_down(now, "refused alone by the state service", self.ttl)
 
--- a/src/copperpass/core/steward.py
+++ b/src/copperpass/core/steward.py
@@ -56,6 +56,7 @@
         self.machines: dict[str, Machine] = {}
         self.gone: dict[str, float] = {}
         self.unsettled: set[str] = set()
+        self.forgetting: set[str] = set()
         self.aims = dispatch.Aims(cluster.objectives)
         self.dirty = False
         self.report_s = cluster.workers.report_s
@@ -554,6 +555,10 @@
             if ended and (machine.tasks or machine.name in self.unsettled):
                 self.out.log("info", "lease over", machine=machine.name)
                 self._session_over(now, machine)
+            if ended and not machine.up and machine.recorded and not machine.releasing:
+                # Known from its record alone and silent for a whole lease: it is gone, or cut off
+                # with nothing on it. Its record would hold up the next change of leader too.
+                self._release(now, [machine])
             quiet = now - machine.last_report
             if machine.up and quiet > 1.5 * self.silence and not machine.releasing:
                 # A silent machine among speaking ones: have the cloud end it, which frees its
@@ -573,6 +578,9 @@
         for job in list(self.jobs.jobs.values()):
             if job.finished and not job.storing:
                 self._store(now, job)
+        for name in self.gone.keys() & self.records.keys():
+            # The removal was not applied, or a late write has put the record back.
+            self._forget_record(now, name)
         for name in [n for n, at in self.gone.items()
                      if now - at > 20 * self.cluster.cloud.list_lag_s + self.lease_s]:
             del self.gone[name]
@@ -901,12 +909,17 @@
         self._session_over(now, machine)
         del self.machines[machine.name]
         self.gone[machine.name] = now
-        if machine.recorded or machine.recording or machine.name in self.records:
-            self.ledger.submit(
-                now,
-                Op({TOKEN: self.token_version}, [wire.remove(FLEET + machine.name)],
-                   lambda n, how, rev: None, now + 10 * self.lease_s),
-            )
+        self._forget_record(now, machine.name)
+
+    def _forget_record(self, now: float, name: str) -> None:
+        if name in self.forgetting:
+            return
+        self.forgetting.add(name)
+        self.ledger.submit(
+            now,
+            Op({TOKEN: self.token_version}, [wire.remove(FLEET + name)],
+               lambda n, how, rev: self.forgetting.discard(name), now + self.lease_s),
+        )
 
     def _list(self, now: float) -> None:
         self.listing = True
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -115,6 +115,23 @@
     assert world.starts == starts and not world.broken
 
 
+def test_a_machine_that_is_gone_does_not_hold_up_every_change_of_leader():
+    world = World()
+    world.run_until(world.leader)
+    world.submit(job(1, run_s=10.0))
+    world.run_until(finished(world, 1), 90)
+    # The machine vanishes together with the leader, so nobody removes its record.
+    victim = world.cloud.workers()[0].name
+    world.cloud.take(victim)
+    world.crash(world.leader(), 5.0)
+    world.run(1.5 * world.lease_s)
+    assert f"c/m/{victim}" not in world.state.data
+    world.crash(world.leader(), 5.0)
+    world.run_until(lambda: world.leader() and world.nodes[world.leader()].steward.ready, 10)
+    world.run(3.0)
+    assert not world.nodes[world.leader()].steward.unsettled and not world.broken
+
+
 def test_a_sick_machine_is_fenced_and_returned():
     world = World()
     world.run_until(world.leader)
