--- a/src/copperpass/core/dispatch.py
+++ b/src/copperpass/core/dispatch.py
@@ -64,12 +64,49 @@
         taken[spec.team] = total
 
 
-def task_order(jobs: Iterable[Job], aims: Aims, now: float) -> list[Job]:
-    """Jobs by priority, then by the nearest aim that can still be met."""
-    return sorted(
-        jobs,
-        key=lambda j: (-wire.PRIORITIES[j.spec.priority], aims.due(j, now), j.arrived, j.spec.id),
-    )
+def task_order(
+    jobs: Iterable[Job], aims: Aims, now: float, bonus_s: float = 0.0
+) -> list[Job]:
+    """Jobs by the nearest aim that can still be met; a higher priority counts as `bonus_s` sooner.
+
+    Production goes first in any case, and work whose aims have all passed comes last.
+    """
+
+    def key(job: Job) -> tuple[bool, float, float, str]:
+        level = wire.PRIORITIES[job.spec.priority]
+        due = aims.due(job, now) - level * bonus_s
+        return (level < wire.PRIORITIES["production"], due, job.arrived, job.spec.id)
+
+    return sorted(jobs, key=key)
+
+
+def machine_to_hold(
+    job: Job, usable: list[Machine], machines: dict[str, Machine], now: float
+) -> Machine | None:
+    """The machine that will have room for the job's next task soonest, if nothing else starts."""
+    best: tuple[float, str, Machine] | None = None
+    spec = job.spec
+    for machine in usable:
+        if not allows(spec, machine.type, machine.zone, machine.spot):
+            continue
+        if not type_fits(spec, machine.type) or not zone_allows(job, machine.zone, machines):
+            continue
+        if now < machine.held_until and machine.held_for != spec.id:
+            continue
+        cpus, gpus, memory = machine.room()
+        ready = 0.0
+        tasks = sorted(
+            ((remaining(p, now), p) for p in machine.tasks.values() if p.active),
+            key=lambda pair: pair[0],
+        )
+        for left, p in tasks:
+            if fits(spec.cpus, cpus) and fits(spec.gpus, gpus) and fits(spec.memory_gb, memory):
+                break
+            ready = left
+            cpus, gpus, memory = cpus + p.cpus, gpus + p.gpus, memory + p.memory_gb
+        if best is None or (ready, machine.name) < best[:2]:
+            best = (ready, machine.name, machine)
+    return best[2] if best else None
 
 
 def best_machine(
--- a/src/copperpass/core/steward.py
+++ b/src/copperpass/core/steward.py
@@ -657,7 +657,14 @@
             running[job.spec.team] = running.get(job.spec.team, 0) + len(job.placed)
             if job.waiting() > 0 and self._startable(job, now):
                 queues.setdefault(job.spec.team, []).append(job)
-        order = {name: dispatch.task_order(q, self.aims, now) for name, q in queues.items()}
+        bonus = self.boot_s / 2
+        order = {
+            name: dispatch.task_order(q, self.aims, now, bonus) for name, q in queues.items()
+        }
+        smallest = min(
+            (j.spec.cpus for j in self.jobs.jobs.values() if j.spec.cpus > 0), default=0.0
+        )
+        holding: set[str] = set()
         stuck: list[Job] = []
         touched: dict[str, Machine] = {}
         scarce: dict[tuple[float, float], dict[str, float]] = {}
@@ -701,8 +708,16 @@
                     )
             if machine is None:
                 order[name].pop(0)
-                if not over:
-                    stuck.append(job)
+                if over:
+                    continue
+                stuck.append(job)
+                if name not in holding and spec.cpus >= 4 * smallest:
+                    # A large task never finds room among small ones that take each gap: as with
+                    # the design's gangs, freed room is held for one of them a team at a time.
+                    holding.add(name)
+                    held = dispatch.machine_to_hold(job, usable, self.machines, now)
+                    if held is not None:
+                        held.held_for, held.held_until = spec.id, now + self.report_s
                 continue
             self._start(now, job, index, machine)
             touched[machine.name] = machine
@@ -786,9 +801,7 @@
         waiting: list[tuple[Job, int]] = []
         demand = dict.fromkeys(self.by_team, 0.0)
         tight = 0.0
-        jobs = dispatch.task_order(
-            (j for j in self.jobs.jobs.values()), self.aims, now
-        )
+        jobs = dispatch.task_order(self.jobs.jobs.values(), self.aims, now, self.boot_s / 2)
         for job in jobs:
             spec = job.spec
             count = job.waiting()
