--- a/src/copperpass/core/steward.py
+++ b/src/copperpass/core/steward.py
@@ -711,7 +711,7 @@
                 if over:
                     continue
                 stuck.append(job)
-                if name not in holding and spec.cpus >= 4 * smallest:
+                if name not in holding and not can_wait and spec.cpus >= 4 * smallest:
                     # A large task never finds room among small ones that take each gap: as with
                     # the design's gangs, freed room is held for one of them a team at a time.
                     holding.add(name)
