--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,217 @@
+"""The reactor side over real loopback sockets, and the command line in a process of its own."""
+
+import contextlib
+import http.client
+import http.server
+import json
+import pathlib
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+import pytest
+
+from copperpass import peer
+from copperpass.net.client import Client
+from copperpass.net.peers import Peers
+from copperpass.net.server import ApiFactory
+from tests.world import raw_settings
+
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+@pytest.fixture(scope="module")
+def reactor():
+    from twisted.internet import reactor
+
+    thread = threading.Thread(
+        target=lambda: reactor.run(installSignalHandlers=False), daemon=True)
+    thread.start()
+    yield reactor
+    reactor.callFromThread(reactor.stop)
+    thread.join(10)
+
+
+def on_reactor(reactor, action):
+    done, result = threading.Event(), []
+
+    def run():
+        result.append(action())
+        done.set()
+
+    reactor.callFromThread(run)
+    assert done.wait(10)
+    return result[0]
+
+
+def wait_for(wanted, seconds=10.0):
+    end = time.monotonic() + seconds
+    while not wanted() and time.monotonic() < end:
+        time.sleep(0.01)
+    assert wanted()
+
+
+class FakeService:
+    """Answers in a way that shows what it was asked."""
+
+    def report(self, body):
+        return 421, json.dumps({"editor": body.decode()}).encode()
+
+    def health(self):
+        return 200, b"{}"
+
+    def submit(self, request, body):
+        request.reply(413 if len(body) > 65536 else 503, b"{}", 3)
+
+    def poll(self, request, job_id):
+        request.reply(200, json.dumps({"id": job_id}).encode())
+
+    def cancel(self, request, job_id):
+        request.reply(200, json.dumps({"cancel": job_id}).encode())
+
+
+@pytest.fixture
+def api(reactor):
+    port = on_reactor(reactor, lambda: reactor.listenTCP(
+        0, ApiFactory(FakeService(), reactor), interface="127.0.0.1"))
+    connection = http.client.HTTPConnection("127.0.0.1", port.getHost().port, timeout=10)
+
+    def ask(method, path, body=None):
+        connection.request(method, path, body)
+        response = connection.getresponse()
+        return response.status, response.read(), response
+
+    yield ask
+    connection.close()
+    on_reactor(reactor, port.stopListening)
+
+
+def test_routes_on_one_kept_connection(api):
+    assert api("GET", "/healthz")[0] == 200
+    assert api("GET", "/api/jobs/req-000001")[1] == b'{"id": "req-000001"}'
+    assert api("POST", "/api/jobs/req-000001/cancel", b"")[1] == b'{"cancel": "req-000001"}'
+    assert api("POST", "/v1/report", b"n2")[:2] == (421, b'{"editor": "n2"}')
+    assert api("GET", "/nowhere")[0] == 404
+    assert api("GET", "/api/jobs/a/b")[0] == 404
+    assert api("DELETE", "/api/jobs/req-000001")[0] == 405
+    status, _, response = api("GET", "/api/jobs")
+    assert (status, response.headers["Allow"]) == (405, "POST")
+    status, _, response = api("POST", "/api/jobs", b"{}")
+    assert (status, response.headers["Retry-After"]) == (503, "3")
+    assert api("POST", "/api/jobs", b" " * 70000)[0] == 413
+
+
+def test_client_answers_once_and_by_its_deadline(reactor):
+    class Handler(http.server.BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+
+        def do_POST(self):
+            body = self.rfile.read(int(self.headers["Content-Length"]))
+            self.send_response(409)
+            self.send_header("Content-Length", str(len(body)))
+            self.end_headers()
+            self.wfile.write(body)
+
+        def log_message(self, *args):
+            pass
+
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    silent = socket.create_server(("127.0.0.1", 0))
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        closed = unused.getsockname()[1]
+    answers = {}
+    client = Client(reactor, 2)
+
+    def ask(name, port, timeout):
+        def send():
+            client.call("POST", f"127.0.0.1:{port}", "/x", b'{"a":1}', timeout,
+                        lambda status, body: answers.setdefault(name, []).append((status, body)))
+
+        on_reactor(reactor, send)
+
+    ask("good", server.server_port, 10.0)
+    ask("silent", silent.getsockname()[1], 0.2)
+    ask("closed", closed, 10.0)
+    wait_for(lambda: len(answers) == 3)
+    assert answers == {
+        "good": [(409, b'{"a":1}')], "silent": [(0, b"")], "closed": [(0, b"")]}
+    server.shutdown()
+    silent.close()
+
+
+def test_peers_talk_and_drop_strangers(reactor):
+    ports = []
+    for _ in range(2):
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            ports.append(probe.getsockname()[1])
+    got = []
+    addresses = [f"127.0.0.1:{p}" for p in ports]
+    first = Peers(reactor, "n0", addresses[0], {"n1": addresses[1]}, lambda *a: None, 0.05)
+    second = Peers(reactor, "n1", addresses[1], {"n0": addresses[0]},
+                   lambda sender, frame: got.append((sender, frame)), 0.05)
+    on_reactor(reactor, second.start)
+    on_reactor(reactor, first.start)
+    wait_for(lambda: first.outgoing["n1"].link is not None)
+    on_reactor(reactor, lambda: first.send("n1", peer.Ask(4, 5)))
+    wait_for(lambda: got == [("n0", peer.Ask(4, 5))])
+    for data in (b"GET / HTTP/1.1\r\n\r\n", peer.pack(peer.Ask(9, 9)),
+                 peer.pack(peer.Hello("nobody"))):
+        with socket.create_connection(("127.0.0.1", ports[1]), 10) as stranger:
+            stranger.sendall(data)
+            with contextlib.suppress(ConnectionResetError):
+                assert stranger.recv(1) == b""
+    assert got == [("n0", peer.Ask(4, 5))]
+    # The link of the known member lives on.
+    on_reactor(reactor, lambda: first.send("n1", peer.Ask(4, 6)))
+    wait_for(lambda: len(got) == 2)
+
+
+def toml(raw):
+    s = raw["settings"]
+    lines = [f'{k} = "{raw[k]}"' for k in ("member", "domain", "serve_on", "internal_addr")]
+    for m in raw["members"]:
+        lines += ["[[members]]"] + [f'{k} = "{v}"' for k, v in m.items()]
+    lines += ["[external]"] + [f'{k} = "{v}"' for k, v in raw["external"].items()]
+    lines += ["[settings]", f"zones = {json.dumps(s['zones'])}"]
+    for name in ("teams", "objectives"):
+        for entry in s[name]:
+            lines += [f"[[settings.{name}]]"] + [
+                f"{k} = {json.dumps(v)}" for k, v in entry.items()]
+    for name in ("workers", "state", "cloud"):
+        lines += [f"[settings.{name}]"] + [f"{k} = {v}" for k, v in s[name].items()]
+    return "\n".join(lines)
+
+
+def run(*args):
+    return subprocess.run(
+        [sys.executable, str(ROOT / "run.py"), *args], capture_output=True, text=True, timeout=60)
+
+
+def test_command_line_checks_settings(tmp_path):
+    good = toml(raw_settings())
+    config, operator = tmp_path / "c.toml", tmp_path / "o.txt"
+    config.write_text(good)
+    assert run("--config", str(config), "--check").returncode == 0
+    assert run("--version").stdout.startswith("copperpass ")
+    for broken, word in (
+        (good.replace("lease_s = 12.0", ""), "lease_s"),
+        (good.replace("lease_s = 12.0", 'lease_s = "x"'), "lease_s"),
+        (good.replace("cpus = 32.0", "cpus = -1.0"), "red"),
+        (good.replace("127.0.0.1:9000", "nonsense"), "serve_on"),
+        ("member = ", "TOML"),
+    ):
+        config.write_text(broken)
+        result = run("--config", str(config))
+        assert result.returncode == 2 and word in result.stderr
+        assert result.stderr.count("\n") == 1
+    config.write_text(good)
+    for text, word in (("idle_boots: 0.7", ""), ("bogus: 1", "bogus"),
+                       ("silence_reports: 0.1", "silence_reports")):
+        operator.write_text(text)
+        result = run("--config", str(config), "--operator", str(operator), "--check")
+        assert result.returncode == (2 if word else 0) and word in result.stderr
