--- a/src/copperpass/tuning.py
+++ b/src/copperpass/tuning.py
@@ -12,7 +12,7 @@
 class Tuning:
     """What operators may set; see operator.proto for the meanings."""
 
-    warm_window_boots: float = 1.0
+    warm_window_boots: float = 2.5
     cheap_window_boots: float = 4.0
     idle_boots: float = 0.5
     patient_boots: float = 1.2
