Read the change again: one way to make a machine, to read a record, to hold room

Four copies of making a machine, two of reading a record, two of the test for held room and of the log levels are one each; fields and constants that nothing read are gone.

--- a/src/copperpass/core/dispatch.py
+++ b/src/copperpass/core/dispatch.py
@@ -91,7 +91,7 @@
             continue
         if not type_fits(spec, machine.type) or not zone_allows(job, machine.zone, machines):
             continue
-        if now < machine.held_until and machine.held_for != spec.id:
+        if machine.held_from(spec.id, now):
             continue
         cpus, gpus, memory = machine.room()
         ready = 0.0
@@ -131,7 +131,7 @@
             continue
         if cheap_only and not machine.spot:
             continue
-        if now < machine.held_until and machine.held_for != spec.id:
+        if machine.held_from(spec.id, now):
             # Room that was freed by stopping tasks is for the job they were stopped for.
             continue
         if machine.name in avoid or not zone_allows(job, machine.zone, machines):
--- a/src/copperpass/core/fleet.py
+++ b/src/copperpass/core/fleet.py
@@ -67,14 +67,12 @@
     spot: bool
     address: str = ""
     token: int = 0
-    seen_token: int = 0
     session: int = 0
     seq: int = 0
     recorded: bool = False
     recording: bool = False
     settled: bool = False
     up: bool = False
-    known_at: float = 0.0
     rented_at: float = 0.0
     up_at: float = 0.0
     last_report: float = float("-inf")
@@ -128,6 +126,10 @@
             _, gone = self.images.popitem(last=False)
             total -= gone
 
+    def held_from(self, job_id: str, now: float) -> bool:
+        """Whether the free room is kept for another job."""
+        return now < self.held_until and self.held_for != job_id
+
     def usable(self, now: float, silence: float) -> bool:
         """Whether tasks may be started here."""
         return (
--- a/src/copperpass/core/jobs.py
+++ b/src/copperpass/core/jobs.py
@@ -39,9 +39,6 @@
     created: int
     done: bytearray
     done_count: int
-    at: float = 0.0
-    fresh: bool = False
-    cancelled: bool = False
     next_index: int = 0
     again: list[int] = field(default_factory=list)
     placed: dict[int, str] = field(default_factory=dict)
@@ -98,7 +95,7 @@
         return None
     done = unpack_done(record.done, record.spec.tasks)
     count = sum(byte.bit_count() for byte in done)
-    return Job(record.spec, version, now, version, done, count, record.at)
+    return Job(record.spec, version, now, version, done, count)
 
 
 @dataclass(slots=True)
--- a/src/copperpass/core/node.py
+++ b/src/copperpass/core/node.py
@@ -46,7 +46,6 @@
             self.ledger, self.rng, self._authority_changed, now,
         )
         self.view = View(self.out, self._saw, self.ttl / 2, timeout)
-        self.started = now
         self.last_state = now
         self.last_worker = float("-inf")
         self.peer_state: dict[str, float] = {}
@@ -185,7 +184,7 @@
         authority = self.authority
         self.steward = Steward(
             self.cluster, self.out, self.ledger, self.jobs, self.types, self.records,
-            authority.token, authority.win_revision, authority.entitled, now, self.rng, self.tuning,
+            authority.token, authority.win_revision, authority.entitled, now, self.tuning,
         )
 
     def _mind_isolation(self, now: float, steward: Steward) -> None:
--- a/src/copperpass/core/steward.py
+++ b/src/copperpass/core/steward.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -40,7 +39,6 @@
         token_version: int,
         entitled: Callable[[float], bool],
         now: float,
-        rng: random.Random,
         tuning: Tuning | None = None,
     ) -> None:
         self.cluster, self.out, self.ledger, self.jobs = cluster, out, ledger, jobs
@@ -49,7 +47,6 @@
         self.settle_version = token_version
         self.base_token = token << TOKEN_SHIFT
         self.entitled = entitled
-        self.rng = rng
         self.tuning = tuning or Tuning()
         self.won_at = now
         self.ready = False
@@ -63,7 +60,6 @@
         self.lease_s = cluster.workers.lease_s * (1 + 4 * DRIFT) + 0.05 * self.report_s
         self.silence = self.tuning.silence_reports * self.report_s
         self.last_report = now
-        self.team_used: dict[str, tuple[float, float]] = {}
         self.allocations: allocation.Allocation | None = None
         self.recent: dict[str, deque[tuple[float, float, float]]] = {
             t.name: deque(maxlen=64) for t in cluster.teams
@@ -114,13 +110,18 @@
         machine_type = self.types.get(str(record[0]))
         if machine_type is None or name in self.gone:
             return None
-        machine = Machine(name, machine_type, str(record[1]), bool(record[2]))
-        machine.token = self.base_token
-        machine.known_at = machine.rented_at = now
+        machine = self._new_machine(now, name, machine_type, str(record[1]), bool(record[2]))
         if len(record) > 3 and record[3]:
             # An earlier authority may have answered the worker up to the moment of our win.
             machine.last_answer = self.won_at
-        machine.idle_since = now
+        return machine
+
+    def _new_machine(
+        self, now: float, name: str, machine_type: wire.MachineType, zone: str, spot: bool
+    ) -> Machine:
+        """A machine that was not known, under this authority's token."""
+        machine = Machine(name, machine_type, zone, spot, token=self.base_token)
+        machine.rented_at = machine.idle_since = now
         self.machines[name] = machine
         return machine
 
@@ -166,10 +167,9 @@
             machine_type = self.types.get(report.type)
             if machine_type is None or report.machine in self.gone:
                 return None
-            machine = Machine(report.machine, machine_type, report.zone, report.spot)
-            machine.token = self.base_token
-            machine.known_at = machine.rented_at = machine.idle_since = now
-            self.machines[report.machine] = machine
+            machine = self._new_machine(
+                now, report.machine, machine_type, report.zone, report.spot
+            )
         self.last_report = now
         if (report.session, report.seq) <= (machine.session, machine.seq):
             # A late copy: it changes nothing, and its answer carries no orders.
@@ -188,7 +188,6 @@
                 self._session_over(now, machine)
             machine.session = report.session
         machine.seq = report.seq
-        machine.seen_token = report.token
         machine.token = max(machine.token, self.base_token)
         machine.address = report.address
         machine.last_report = now
@@ -892,10 +891,7 @@
     def _rented(self, now: float, name: str, place: rental.Place) -> None:
         machine = self.machines.get(name)
         if machine is None:
-            machine = Machine(name, self.types[place[0]], place[1], place[2])
-            machine.token = self.base_token
-            machine.known_at = machine.rented_at = machine.idle_since = now
-            self.machines[name] = machine
+            machine = self._new_machine(now, name, self.types[place[0]], place[1], place[2])
         self._record(now, machine)
 
     def _release(self, now: float, machines: list[Machine]) -> None:
@@ -956,11 +952,8 @@
                 machine_type = self.types.get(item.type)
                 if machine_type is None:
                     continue
-                machine = Machine(item.id, machine_type, item.zone, item.spot)
-                machine.token = self.base_token
-                machine.known_at = machine.idle_since = now
+                machine = self._new_machine(now, item.id, machine_type, item.zone, item.spot)
                 machine.rented_at = now - item.age_s
-                self.machines[item.id] = machine
             machine.listed = True
             if item.state == "failed" and not machine.failed:
                 # It has stopped on its own: nothing runs there any more.
--- a/src/copperpass/core/users.py
+++ b/src/copperpass/core/users.py
@@ -61,6 +61,13 @@
     raise Verdict(422, "a task fits no allowed machine type")
 
 
+def _read(outcome: Outcome) -> tuple[wire.JobRecord, int] | None:
+    """The record and version that a read brought."""
+    item = wire.decode(outcome.body, wire.Item) if outcome.status == 200 else None
+    record = wire.decode(bytes(item.value), wire.JobRecord) if item else None
+    return None if item is None or record is None else (record, item.version)
+
+
 class UserDesk:
     """Answers users; the same on every node, whoever leads."""
 
@@ -168,24 +175,22 @@
             if outcome.status == 404:
                 self._get(OVER + job_id, over)
                 return
-            item = wire.decode(outcome.body, wire.Item) if outcome.status == 200 else None
-            record = wire.decode(bytes(item.value), wire.JobRecord) if item else None
-            if item is None or record is None:
+            read = _read(outcome)
+            if read is None:
                 failed(n)
             else:
-                found(n, record, item.version)
+                found(n, *read)
 
         def over(n: float, outcome: Outcome) -> None:
             if outcome.status == 404:
                 found(n, None, 0)
                 return
-            item = wire.decode(outcome.body, wire.Item) if outcome.status == 200 else None
-            record = wire.decode(bytes(item.value), wire.JobRecord) if item else None
-            if item is None or record is None:
+            read = _read(outcome)
+            if read is None:
                 failed(n)
             else:
-                self.note_final(job_id, record)
-                found(n, record, item.version)
+                self.note_final(job_id, read[0])
+                found(n, *read)
 
         self._get(LIVE + job_id, live)
 
--- a/src/copperpass/net/service.py
+++ b/src/copperpass/net/service.py
@@ -11,6 +11,7 @@
 from copperpass import __version__
 from copperpass.core.node import Node
 from copperpass.core.ports import Call, Outcome
+from copperpass.log import LEVELS
 from copperpass.net.client import Client
 from copperpass.net.peers import Peers
 from copperpass.net.server import ApiFactory
@@ -19,7 +20,6 @@
 from copperpass.tuning import Tuning
 
 logger = logging.getLogger("copperpass")
-LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
 
 class Service:
--- a/src/copperpass/wire.py
+++ b/src/copperpass/wire.py
@@ -273,7 +273,6 @@
     final: str = ""
     done: str = ""
     count: int = 0
-    at: float = 0.0
 
 
 class LeadRecord(msgspec.Struct):
@@ -297,8 +296,6 @@
     machines: dict[str, list[Any]]
 
 
-ERR_NO_CAPACITY = b"no capacity"
-
 encode = msgspec.json.encode
 
 
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -1,7 +1,6 @@
 """A task is where it may be: what a leader concludes from reports, answers and silence."""
 
 import json
-import random
 
 import pytest
 
@@ -25,7 +24,7 @@
                  .types[0]}
         self.steward = Steward(
             cluster, self.out, ledger, self.jobs, types, {}, 1, 50, lambda now: True,
-            self.now, random.Random(1))
+            self.now)
         self.steward.begin(self.now)
         self.seq = 0
         self.token = 1 << TOKEN_SHIFT
