A record with ends is no proof that its job is younger than the win

Found by reading: a job first seen in a listing, whose record a late write of an earlier leader had changed after the win, counted as new, and its unseen tasks could start while an old machine still ran them.

--- a/src/copperpass/core/jobs.py
+++ b/src/copperpass/core/jobs.py
@@ -95,7 +95,10 @@
         return None
     done = unpack_done(record.done, record.spec.tasks)
     count = sum(byte.bit_count() for byte in done)
-    return Job(record.spec, version, now, version, done, count)
+    # A record with ends was changed after its creation, maybe by a late write of an earlier leader
+    # after our win: its version doesn't prove that the job is younger than the win.
+    created = version if count == 0 else 0
+    return Job(record.spec, version, now, created, done, count)
 
 
 @dataclass(slots=True)
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -174,6 +174,18 @@
     assert bench.job.placed == {}
 
 
+def test_a_late_write_does_not_make_an_old_job_look_new():
+    bench = Bench()
+    bench.steward.unsettled.add("m-9")
+    young = json.dumps({"spec": job(1, tasks=2)}).encode()
+    old = json.dumps({"spec": job(2, tasks=2), "done": "AQ=="}).encode()
+    for number, record in ((1, young), (2, old)):
+        bench.jobs.saw(bench.now, f"c/live/req-{number:06d}", record, 90)
+    jobs = bench.jobs.jobs
+    assert bench.steward._startable(jobs["req-000001"], bench.now)
+    assert not bench.steward._startable(jobs["req-000002"], bench.now)
+
+
 def test_a_higher_authority_is_not_talked_over():
     bench = Bench()
     assert bench.report([], token=2 << TOKEN_SHIFT) is None
