Ends of many jobs in one record, one fleet record, users' writes first

Change: ends of jobs that are not over go into shared records, gathered for half a report; bookings and machines are in one fleet record, a booking stored before it is sent; the ledger serves users and the election first and leaves them a part of the burst. A replayed removal no longer takes a newer key from the view.

--- a/src/copperpass/core/authority.py
+++ b/src/copperpass/core/authority.py
@@ -22,7 +22,7 @@
 import msgspec
 
 from copperpass import peer, wire
-from copperpass.core.ledger import APPLIED, CONFLICT, Ledger, Op
+from copperpass.core.ledger import APPLIED, CONFLICT, URGENT, Ledger, Op
 from copperpass.core.ports import Call, Outbox, Outcome
 from copperpass.settings import Cluster, SettingsError
 
@@ -266,6 +266,7 @@
                 ],
                 lambda n, how, rev: self._campaigned(n, how, rev, token, made.lease),
                 now + self.ttl / 3,
+                URGENT,
             ),
         )
 
--- a/src/copperpass/core/fleet.py
+++ b/src/copperpass/core/fleet.py
@@ -70,7 +70,6 @@
     session: int = 0
     seq: int = 0
     recorded: bool = False
-    recording: bool = False
     settled: bool = False
     up: bool = False
     rented_at: float = 0.0
--- a/src/copperpass/core/jobs.py
+++ b/src/copperpass/core/jobs.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import base64
+from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from copperpass import wire
 
-LIVE, OVER = "c/live/", "d/job/"
+LIVE, OVER, ENDS = "c/live/", "d/job/", "c/ends/"
 EPS = 1e-6
 
 
@@ -29,6 +31,12 @@
     return mask
 
 
+class Result(Protocol):
+    """Whatever holds a task's end that may be cleared once it is stored."""
+
+    stored: bool
+
+
 @dataclass(slots=True)
 class Job:
     """A job and what this controller knows of its tasks."""
@@ -43,6 +51,8 @@
     again: list[int] = field(default_factory=list)
     placed: dict[int, str] = field(default_factory=dict)
     finished: set[int] = field(default_factory=set)
+    # Reported ends that wait to be stored: what to tell their machines once they are.
+    results: dict[int, list[Result]] = field(default_factory=dict)
     storing: bool = False
     attempts: int = 0
     failed_on: set[str] = field(default_factory=set)
@@ -61,10 +71,33 @@
             self.done[index >> 3] |= 1 << (index & 7)
             self.done_count += 1
 
+    def merge(self, done: bytes | bytearray) -> None:
+        """Take over stored ends; ends are facts, so they only add up."""
+        for i, byte in enumerate(done):
+            self.done[i] |= byte
+        self.done_count = sum(byte.bit_count() for byte in self.done)
+        self.finished = {i for i in self.finished if not self.is_done(i)}
+        # A write without an answer may have been applied: the watch is proof enough to clear.
+        self.stored([i for i in self.results if self.is_done(i)])
+
+    def stored(self, indexes: Iterable[int]) -> None:
+        """Ends are in the state service: their machines may forget them."""
+        for index in indexes:
+            self.mark_done(index)
+            self.finished.discard(index)
+            for result in self.results.pop(index, ()):
+                result.stored = True
+
+    def mask(self) -> bytearray:
+        """The ends that are stored or reported."""
+        mask = bytearray(self.done)
+        for index in self.finished:
+            mask[index >> 3] |= 1 << (index & 7)
+        return mask
+
     def waiting(self) -> int:
         """How many tasks are neither placed nor done."""
-        unstored = sum(1 for i in self.finished if not self.is_done(i))
-        return self.spec.tasks - self.done_count - len(self.placed) - unstored
+        return self.spec.tasks - self.done_count - len(self.placed) - len(self.finished)
 
     def peek(self) -> int | None:
         """The next task to start, or None."""
@@ -106,6 +139,20 @@
     """All jobs that are not over."""
 
     jobs: dict[str, Job] = field(default_factory=dict)
+    # Records of ends, each of many jobs: key -> job -> done tasks.
+    pages: dict[str, dict[str, str]] = field(default_factory=dict)
+
+    def saw_ends(self, key: str, raw: bytes | None) -> None:
+        """Take in a record of ends."""
+        page = wire.decode(raw, dict[str, str]) if raw is not None else None
+        if page is None:
+            self.pages.pop(key, None)
+            return
+        self.pages[key] = page
+        for job_id, text in page.items():
+            job = self.jobs.get(job_id)
+            if job is not None:
+                job.merge(unpack_done(text, job.spec.tasks))
 
     def saw(self, now: float, key: str, raw: bytes | None, version: int) -> tuple[Job | None, bool]:
         """Take in a change; returns the job it concerns and whether it is over."""
@@ -123,13 +170,13 @@
             job = make_job(record, version, now)
             if job is not None:
                 self.jobs[job_id] = job
+                for page in self.pages.values():
+                    if job_id in page:
+                        job.merge(unpack_done(page[job_id], job.spec.tasks))
             return job, False
         if version > job.version:
             job.version = version
-            merged = unpack_done(record.done, job.spec.tasks)
-            for i, byte in enumerate(merged):
-                job.done[i] |= byte
-            job.done_count = sum(byte.bit_count() for byte in job.done)
+            job.merge(unpack_done(record.done, job.spec.tasks))
         return job, False
 
 
--- a/src/copperpass/core/ledger.py
+++ b/src/copperpass/core/ledger.py
@@ -24,20 +24,27 @@
     writes: list[dict[str, Any]]
     then: OpThen
     deadline: float
+    rank: int = 1
     size: int = 0
 
 
+# Users and the election come first; then what frees room or ends jobs; then what can be gathered.
+URGENT, PLAIN, GATHERED = range(3)
+# The part of the burst that an operation of a rank must leave for those before it.
+RESERVE = (0.0, 0.2, 0.45)
+
+
 class Budget:
     """A token bucket over the steady clock."""
 
     def __init__(self, rate: float, burst: float) -> None:
         self.rate, self.burst, self.level, self.at = rate, burst, burst, 0.0
 
-    def take(self, now: float, amount: float) -> bool:
-        """Take an amount if it is there."""
+    def take(self, now: float, amount: float, leave: float = 0.0) -> bool:
+        """Take an amount if it is there and `leave` of the burst stays."""
         self.level = min(self.burst, self.level + max(0.0, now - self.at) * self.rate)
         self.at = now
-        if self.level + 1e-9 < amount:
+        if self.level + 1e-9 < min(amount + leave * self.burst, self.burst):
             return False
         self.level -= amount
         return True
@@ -50,7 +57,7 @@
 
     def __init__(self, out: Outbox, write_rps: float, txn_ops: int, timeout: float) -> None:
         self.out = out
-        self.queue: deque[Op] = deque()
+        self.queues: tuple[deque[Op], ...] = (deque(), deque(), deque())
         self.in_flight = 0
         self.budget = Budget(write_rps * 0.9, max(write_rps * 0.9, 2.0))
         self.txn_ops = txn_ops
@@ -60,21 +67,30 @@
     def submit(self, now: float, op: Op) -> None:
         """Queue an operation; its `then` is always called once."""
         op.size = len(wire.transaction(op.guards, op.writes))
-        self.queue.append(op)
+        self.queues[op.rank].append(op)
         self.pump(now)
 
     def pump(self, now: float) -> None:
         """Send what may be sent now."""
-        while self.queue and self.queue[0].deadline < now:
-            # Guards the user's own deadline: what can't be stored in time is said at once.
-            self.queue.popleft().then(now, UNAVAILABLE, 0)
-        while self.queue and self.in_flight < self.IN_FLIGHT and now >= self.paused_until:
-            batch: list[Op] = []
-            guards: dict[str, int] = {}
-            written: set[str] = set()
-            writes = size = 0
-            while self.queue:
-                op = self.queue[0]
+        for queue in self.queues:
+            while queue and queue[0].deadline < now:
+                # Guards the user's own deadline: what can't be stored in time is said at once.
+                queue.popleft().then(now, UNAVAILABLE, 0)
+        while self.in_flight < self.IN_FLIGHT and now >= self.paused_until:
+            batch = self._batch(now)
+            if not batch:
+                return
+            self._send(batch)
+
+    def _batch(self, now: float) -> list[Op]:
+        """The operations that go together, those of the first rank in front."""
+        batch: list[Op] = []
+        guards: dict[str, int] = {}
+        written: set[str] = set()
+        writes = size = 0
+        for queue in self.queues:
+            while queue:
+                op = queue[0]
                 targets = {str(w.get("put") or w.get("remove")) for w in op.writes}
                 fits = (
                     writes + len(op.writes) <= self.txn_ops
@@ -85,17 +101,19 @@
                     and all(guards.get(k, v) == v for k, v in op.guards.items())
                 )
                 if batch and not fits:
-                    break
-                if not self.budget.take(now, len(op.writes)):
-                    break
-                batch.append(self.queue.popleft())
+                    return batch
+                if not self.budget.take(now, len(op.writes), RESERVE[op.rank]):
+                    return batch
+                batch.append(queue.popleft())
                 guards.update(op.guards)
                 written |= targets
                 writes += len(op.writes)
                 size += op.size
-            if not batch:
-                return
-            self._send(batch)
+        return batch
+
+    def _again(self, ops: list[Op]) -> None:
+        for op in reversed(ops):
+            self.queues[op.rank].appendleft(op)
 
     def _send(self, batch: list[Op]) -> None:
         guards: dict[str, int] = {}
@@ -125,10 +143,10 @@
             for op in batch:
                 if op not in again:
                     op.then(now, CONFLICT, 0)
-            self.queue.extendleft(reversed(again))
+            self._again(again)
         elif outcome.status == 429:
             self.paused_until = now + 0.1
-            self.queue.extendleft(reversed(batch))
+            self._again(batch)
         elif outcome.status == 503:
             for op in batch:
                 op.then(now, UNAVAILABLE, 0)
--- a/src/copperpass/core/node.py
+++ b/src/copperpass/core/node.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 import random
-from typing import Any
 
 import msgspec
 
 from copperpass import peer, wire
 from copperpass.core.authority import LEAD, TOKEN, Authority, times_of
-from copperpass.core.jobs import LIVE, JobTable
-from copperpass.core.ledger import Ledger, Op
+from copperpass.core.jobs import ENDS, LIVE, JobTable
+from copperpass.core.ledger import GATHERED, Ledger, Op
 from copperpass.core.ports import Call, Outbox, Outcome
-from copperpass.core.steward import FLEET, Steward
+from copperpass.core.roster import FLEET
+from copperpass.core.steward import Steward
 from copperpass.core.users import UserDesk
 from copperpass.core.view import View
 from copperpass.settings import Settings
@@ -38,9 +38,10 @@
         timeout = self.ttl / 3
         self.ledger = Ledger(self.out, cluster.state.write_rps, cluster.state.txn_ops, timeout)
         self.desk = UserDesk(cluster, self.out, self.ledger, 1.6)
-        self.desk.running = self.running_of
+        self.desk.counts = self.counts_of
         self.jobs = JobTable()
-        self.records: dict[str, tuple[list[Any], int]] = {}
+        self.fleet: tuple[wire.FleetRecord | None, int] = (None, 0)
+        self.versions: dict[str, int] = {}
         self.authority = Authority(
             settings.name, [m.name for m in settings.members], self.times, self.out,
             self.ledger, self.rng, self._authority_changed, now,
@@ -129,12 +130,13 @@
         latest = max(self.peer_state.values(), default=float("-inf"))
         return latest - self.last_state > self.ttl
 
-    def running_of(self, job_id: str) -> int:
-        """How many tasks of a job run, as far as this node knows; for display."""
-        if self.steward is None:
-            return self.peer_counts.get(job_id, 0)
+    def counts_of(self, job_id: str) -> tuple[int, int]:
+        """How many tasks of a job are done and run, as far as this node knows; for display."""
         job = self.jobs.jobs.get(job_id)
-        return len(job.placed) if job else 0
+        done = job.done_count if job else 0
+        if self.steward is None:
+            return done, self.peer_counts.get(job_id, 0)
+        return done, len(job.placed) if job else 0
 
     # -- what happens inside -------------------------------------------------------------
 
@@ -154,15 +156,13 @@
                 if over and job is not None:
                     self.steward.job_over(now, job)
                 self.steward.dirty = True
-        elif key.startswith(FLEET):
-            name = key[len(FLEET):]
-            record = wire.decode(raw, list) if raw is not None else None
-            if record is None:
-                self.records.pop(name, None)
-            else:
-                self.records[name] = (record, version)
+        elif key.startswith(ENDS):
+            self.jobs.saw_ends(key, raw)
+            self.versions[key] = version if raw is not None else 0
+        elif key == FLEET:
+            self.fleet = (wire.decode(raw, wire.FleetRecord) if raw is not None else None, version)
             if self.steward is not None:
-                self.steward.saw_record(now, name, raw)
+                self.steward.saw_fleet(*self.fleet)
 
     def _authority_changed(self, now: float, leading: bool, continued: bool) -> None:
         if leading and continued and self.steward is not None:
@@ -172,6 +172,7 @@
         for job in self.jobs.jobs.values():
             job.placed.clear()
             job.finished.clear()
+            job.results.clear()
             job.again.clear()
             job.next_index = 0
             job.storing = False
@@ -183,8 +184,9 @@
             return
         authority = self.authority
         self.steward = Steward(
-            self.cluster, self.out, self.ledger, self.jobs, self.types, self.records,
-            authority.token, authority.win_revision, authority.entitled, now, self.tuning,
+            self.cluster, self.out, self.ledger, self.jobs, self.types, self.fleet,
+            self.versions, authority.token, authority.win_revision, authority.entitled, now,
+            self.tuning,
         )
 
     def _mind_isolation(self, now: float, steward: Steward) -> None:
@@ -252,5 +254,5 @@
         self.ledger.submit(
             now,
             Op({TOKEN: self.authority.win_revision}, [wire.put(TYPES, msgspec.to_builtins(offer))],
-               lambda n, how, rev: None, now + self.ttl),
+               lambda n, how, rev: None, now + self.ttl, GATHERED),
         )
--- a/src/copperpass/core/steward.py
+++ b/src/copperpass/core/steward.py
@@ -4,21 +4,19 @@
 
 from collections import deque
 from collections.abc import Callable
-from typing import Any
-
-import msgspec
 
 from copperpass import wire
 from copperpass.core import allocation, dispatch, rental
-from copperpass.core.authority import DRIFT, TOKEN
+from copperpass.core.authority import DRIFT
 from copperpass.core.fleet import Machine, Placement
-from copperpass.core.jobs import LIVE, OVER, Job, JobTable, fits, pack_done, parse_task, task_id
+from copperpass.core.jobs import LIVE, OVER, Job, JobTable, fits, parse_task, task_id
 from copperpass.core.ledger import APPLIED, Ledger, Op
 from copperpass.core.ports import NO_ANSWER, Call, Outbox, Outcome
+from copperpass.core.progress import Progress
+from copperpass.core.roster import Roster
 from copperpass.settings import Cluster
 from copperpass.tuning import Tuning
 
-FLEET = "c/m/"
 TOKEN_SHIFT = 20
 ATTEMPT_SHIFT = 16
 GHOST = "?"
@@ -34,7 +32,8 @@
         ledger: Ledger,
         jobs: JobTable,
         types: dict[str, wire.MachineType],
-        records: dict[str, tuple[list[Any], int]],
+        fleet: tuple[wire.FleetRecord | None, int],
+        versions: dict[str, int],
         token: int,
         token_version: int,
         entitled: Callable[[float], bool],
@@ -42,7 +41,7 @@
         tuning: Tuning | None = None,
     ) -> None:
         self.cluster, self.out, self.ledger, self.jobs = cluster, out, ledger, jobs
-        self.types, self.records = types, records
+        self.types = types
         self.epoch, self.token_version = token, token_version
         self.settle_version = token_version
         self.base_token = token << TOKEN_SHIFT
@@ -53,7 +52,8 @@
         self.machines: dict[str, Machine] = {}
         self.gone: dict[str, float] = {}
         self.unsettled: set[str] = set()
-        self.forgetting: set[str] = set()
+        # Machines with any attempt of a job, by job.
+        self.where: dict[str, set[str]] = {}
         self.aims = dispatch.Aims(cluster.objectives)
         self.dirty = False
         self.report_s = cluster.workers.report_s
@@ -79,6 +79,15 @@
         self.next_summary = now
         self.next_round = now
         self.by_team = {t.name: t for t in cluster.teams}
+        room = cluster.state.value_kb * 1024
+        write_s = 1 / cluster.state.write_rps
+        self.roster = Roster(
+            ledger, lambda: self.token_version, room, 4 * write_s, cluster.workers.lease_s)
+        self.roster.load(*fleet)
+        self.roster.on_stored = self._marked_up
+        self.progress = Progress(
+            jobs, ledger, lambda: self.token_version, versions, 0.8 * room,
+            max(self.report_s / 2, 4 * write_s), cluster.workers.lease_s)
         self.gpus_matter = any(t.gpus > 0 or t.gpus_max > 0 for t in cluster.teams)
 
     # -- start of an authority ---------------------------------------------------
@@ -86,13 +95,14 @@
     def begin(self, now: float) -> None:
         """The view has caught up with the win: know the machines that may hold tasks."""
         self.ready = True
-        for name, (record, _) in self.records.items():
-            machine = self.machines.get(name) or self._from_record(now, name, record)
-            if machine is None:
-                continue
-            machine.recorded = len(record) > 3 and bool(record[3])
-            if machine.recorded and not machine.settled:
+        for name in self.roster.places:
+            machine = self.machines.get(name) or self._from_roster(now, name)
+            if machine is not None and machine.recorded and not machine.settled:
                 self.unsettled.add(name)
+        for request, (place, count) in list(self.roster.booked.items()):
+            # It may have been carried out: asked again, it names what it brought.
+            self.renting[place] = count
+            self._book(now, place, count, request, 3)
         for machine in self.machines.values():
             for p in list(machine.tasks.values()):
                 self._match_job(now, machine, p)
@@ -104,14 +114,15 @@
         self.base_token = token << TOKEN_SHIFT
         for machine in self.machines.values():
             machine.token = self.base_token
-            machine.recording = False
 
-    def _from_record(self, now: float, name: str, record: list[Any]) -> Machine | None:
-        machine_type = self.types.get(str(record[0]))
+    def _from_roster(self, now: float, name: str) -> Machine | None:
+        place = self.roster.places[name]
+        machine_type = self.types.get(place[0])
         if machine_type is None or name in self.gone:
             return None
-        machine = self._new_machine(now, name, machine_type, str(record[1]), bool(record[2]))
-        if len(record) > 3 and record[3]:
+        machine = self._new_machine(now, name, machine_type, place[1], place[2])
+        machine.recorded = name in self.roster.stored
+        if machine.recorded:
             # An earlier authority may have answered the worker up to the moment of our win.
             machine.last_answer = self.won_at
         return machine
@@ -125,37 +136,21 @@
         self.machines[name] = machine
         return machine
 
-    def saw_record(self, now: float, name: str, raw: bytes | None) -> None:
-        """A machine's record has changed."""
-        machine = self.machines.get(name)
-        if raw is not None and machine is None and self.ready:
-            record = wire.decode(raw, list)
-            if record:
-                self._from_record(now, name, record)
-
-    def _record(self, now: float, machine: Machine) -> None:
-        """Store a machine when rented and again before anything starts on it.
-
-        So a successor knows what was rented, and every machine that may hold tasks.
-        """
-        if machine.recorded or machine.recording or not self.entitled(now):
-            return
-        machine.recording = True
-
-        def then(n: float, how: str, revision: int) -> None:
-            machine.recording = False
-            if how == APPLIED:
-                machine.recorded = up
+    def saw_fleet(self, record: wire.FleetRecord | None, version: int) -> None:
+        """The watch brings the fleet's record: until we begin, it may still be a late write."""
+        if not self.ready:
+            self.roster.load(record, version)
+        else:
+            self.roster.saw(version)
+
+    def _marked_up(self, now: float, names: set[str]) -> None:
+        """The state service knows these machines as up: tasks may start there."""
+        for name in names:
+            machine = self.machines.get(name)
+            if machine is not None:
+                machine.recorded = True
                 self.dirty = True
 
-        up = machine.up
-        value = [machine.type.name, machine.zone, machine.spot, up]
-        self.ledger.submit(
-            now,
-            Op({TOKEN: self.token_version}, [wire.put(FLEET + machine.name, value)], then,
-               now + self.lease_s),
-        )
-
     # -- reports --------------------------------------------------------------------
 
     def report(self, now: float, report: wire.Report) -> wire.ReportAnswer | None:
@@ -177,7 +172,8 @@
             return wire.ReportAnswer(machine.token, [])
         self._take(now, machine, report, True)
         machine.last_answer = now
-        self._record(now, machine)
+        if not machine.recorded:
+            self.roster.came_up(now, machine.name, (machine.type.name, machine.zone, machine.spot))
         commands = self._orders(now, machine, report)
         return wire.ReportAnswer(machine.token, commands)
 
@@ -239,6 +235,7 @@
             key[0], key[1], key[2], machine.name, GHOST, "", 0, 0.0, 0.0, 0.0, "", 0.0, seen=True
         )
         machine.tasks[key] = p
+        self.where.setdefault(p.job_id, set()).add(machine.name)
         self._match_job(now, machine, p)
         return p
 
@@ -305,6 +302,7 @@
                 p.stored = True
             else:
                 job.finished.add(p.index)
+                job.results.setdefault(p.index, []).append(p)
                 self._store(now, job)
             return
         p.stored = True
@@ -471,50 +469,35 @@
     # -- results -----------------------------------------------------------------------
 
     def _store(self, now: float, job: Job) -> None:
-        """Store ends that are not stored yet; the last one makes the job done."""
-        if job.storing:
+        """Store ends: the last makes the job done at once, the others are gathered."""
+        if job.storing or not job.finished:
             return
-        ends = sorted(i for i in job.finished if not job.is_done(i))
-        if not ends:
+        if job.done_count + len(job.finished) < job.spec.tasks:
+            self.progress.note(now, job)
             return
         job.storing = True
-        mask = bytearray(job.done)
-        for i in ends:
-            mask[i >> 3] |= 1 << (i & 7)
-        over = job.done_count + len(ends) >= job.spec.tasks
         key = LIVE + job.spec.id
-        if over:
-            final = {"final": wire.DONE, "count": job.spec.tasks}
-            writes = [wire.remove(key), wire.put(OVER + job.spec.id, final)]
-        else:
-            record = {"spec": msgspec.to_builtins(job.spec), "done": pack_done(mask)}
-            writes = [wire.put(key, record)]
+        final = {"final": wire.DONE, "count": job.spec.tasks}
 
         def then(n: float, how: str, revision: int) -> None:
             job.storing = False
             if how == APPLIED:
                 job.version = max(job.version, revision)
-                for i in ends:
-                    job.mark_done(i)
-                self._mark_stored(job, set(ends))
-                if over:
-                    self.jobs.jobs.pop(job.spec.id, None)
-                    self.job_over(n, job)
-                else:
-                    self._store(n, job)
+                job.stored(list(job.finished))
+                self.jobs.jobs.pop(job.spec.id, None)
+                self.job_over(n, job)
             # On a conflict the watch brings the newer record; the next scan tries again.
 
+        writes = [wire.remove(key), wire.put(OVER + job.spec.id, final)]
         self.ledger.submit(now, Op({key: job.version}, writes, then, now + 2 * self.lease_s))
 
-    def _mark_stored(self, job: Job, ends: set[int]) -> None:
-        for machine in self.machines.values():
-            for p in machine.tasks.values():
-                if p.job_id == job.spec.id and p.state == wire.EXITED and p.index in ends:
-                    p.stored = True
-
     def job_over(self, now: float, job: Job) -> None:
         """The job's record is gone: nothing of it may start, and all of it must go."""
-        for machine in self.machines.values():
+        self.progress.over(job)
+        for name in self.where.pop(job.spec.id, ()):
+            machine = self.machines.get(name)
+            if machine is None:
+                continue
             touched = False
             for p in list(machine.tasks.values()):
                 if p.job_id != job.spec.id:
@@ -540,6 +523,8 @@
         if now >= self.next_scan:
             self.next_scan = now + self.report_s / 4
             self._scan(now)
+        self.roster.tick(now)
+        self.progress.tick(now)
         if now >= self.next_list and not self.listing:
             self._list(now)
         if now >= self.next_plan and self.types:
@@ -577,9 +562,6 @@
         for job in list(self.jobs.jobs.values()):
             if job.finished and not job.storing:
                 self._store(now, job)
-        for name in self.gone.keys() & self.records.keys():
-            # The removal was not applied, or a late write has put the record back.
-            self._forget_record(now, name)
         for name in [n for n, at in self.gone.items()
                      if now - at > 20 * self.cluster.cloud.list_lag_s + self.lease_s]:
             del self.gone[name]
@@ -741,6 +723,7 @@
             spec.estimate_s, sent_at=now,
         )
         machine.tasks[p.key] = p
+        self.where.setdefault(spec.id, set()).add(machine.name)
         machine.starts.append(p)
         machine.idle_since = now
         machine.touch_image(spec.image, spec.image_gb)
@@ -863,7 +846,15 @@
         # The token is this authority's alone, so the name is never used again by any node.
         request = f"b-{self.epoch}-{self.booking}"
         self.renting[place] = count
-        self._book(now, place, count, request, 3)
+
+        def stored(n: float, ok: bool) -> None:
+            if ok and self.entitled(n):
+                self._book(n, place, count, request, 3)
+            else:
+                self.renting.pop(place, None)
+                self.roster.ended(n, request, [])
+
+        self.roster.book(now, request, place, count, stored)
 
     def _book(self, now: float, place: rental.Place, count: int, request: str, tries: int) -> None:
         def then(n: float, outcome: Outcome) -> None:
@@ -876,6 +867,7 @@
                 else:
                     self.refusals.granted(place)
                 self.out.log("info", "rented", place=str(place), count=len(names))
+                self.roster.ended(n, request, names)
                 for name in names:
                     self._rented(n, name, place)
                 return
@@ -884,6 +876,8 @@
                 return
             self.renting.pop(place, None)
             self.refusals.refused(place, n, self.boot_s / 2)
+            if outcome.status != NO_ANSWER:
+                self.roster.ended(n, request, [])
 
         body = wire.rental(request, place[0], place[1], place[2], count)
         self.out.calls.append(Call("cloud", "POST", wire.PATH_RENTALS, then, body, 3.0))
@@ -891,8 +885,7 @@
     def _rented(self, now: float, name: str, place: rental.Place) -> None:
         machine = self.machines.get(name)
         if machine is None:
-            machine = self._new_machine(now, name, self.types[place[0]], place[1], place[2])
-        self._record(now, machine)
+            self._new_machine(now, name, self.types[place[0]], place[1], place[2])
 
     def _release(self, now: float, machines: list[Machine]) -> None:
         if not self.entitled(now):
@@ -918,17 +911,7 @@
         self._session_over(now, machine)
         del self.machines[machine.name]
         self.gone[machine.name] = now
-        self._forget_record(now, machine.name)
-
-    def _forget_record(self, now: float, name: str) -> None:
-        if name in self.forgetting:
-            return
-        self.forgetting.add(name)
-        self.ledger.submit(
-            now,
-            Op({TOKEN: self.token_version}, [wire.remove(FLEET + name)],
-               lambda n, how, rev: self.forgetting.discard(name), now + self.lease_s),
-        )
+        self.roster.gone(now, machine.name)
 
     def _list(self, now: float) -> None:
         self.listing = True
@@ -954,6 +937,7 @@
                     continue
                 machine = self._new_machine(now, item.id, machine_type, item.zone, item.spot)
                 machine.rented_at = now - item.age_s
+                self.roster.rented(now, item.id, (item.type, item.zone, item.spot))
             machine.listed = True
             if item.state == "failed" and not machine.failed:
                 # It has stopped on its own: nothing runs there any more.
--- a/src/copperpass/core/users.py
+++ b/src/copperpass/core/users.py
@@ -10,8 +10,8 @@
 
 from copperpass import wire
 from copperpass.core.fleet import type_fits
-from copperpass.core.jobs import LIVE, OVER, fits, unpack_done
-from copperpass.core.ledger import APPLIED, CONFLICT, Ledger, Op
+from copperpass.core.jobs import LIVE, OVER, fits
+from copperpass.core.ledger import APPLIED, CONFLICT, URGENT, Ledger, Op
 from copperpass.core.ports import Call, Outbox, Outcome, Reply
 from copperpass.settings import Cluster
 
@@ -76,7 +76,7 @@
         self.read_timeout = read_timeout
         self.types: dict[str, wire.MachineType] = {}
         self.finals: OrderedDict[str, wire.JobRecord] = OrderedDict()
-        self.running: Callable[[str], int] = lambda job_id: 0
+        self.counts: Callable[[str], tuple[int, int]] = lambda job_id: (0, 0)
 
     # -- requests -------------------------------------------------------------
 
@@ -112,6 +112,7 @@
             [wire.put(LIVE + spec.id, record)],
             lambda n, how, rev: self._submitted(n, how, request, spec.id),
             now + self.read_timeout,
+            URGENT,
         )
         self.ledger.submit(now, op)
 
@@ -136,7 +137,7 @@
             if record is None or record.final:
                 self._tell(request, job_id, record)
                 return
-            count = sum(b.bit_count() for b in unpack_done(record.done, wire.MAX_TASKS))
+            count = self.counts(job_id)[0]
             final = {"final": wire.CANCELLED, "count": count}
 
             def stored(m: float, how: str, revision: int) -> None:
@@ -155,6 +156,7 @@
                     [wire.remove(LIVE + job_id), wire.put(OVER + job_id, final)],
                     stored,
                     n + self.read_timeout,
+                    URGENT,
                 ),
             )
 
@@ -235,8 +237,7 @@
         if record.final:
             answer = wire.JobAnswer(job_id, record.final, record.count, 0)
         else:
-            running = self.running(job_id)
-            done = sum(b.bit_count() for b in unpack_done(record.done, wire.MAX_TASKS))
+            done, running = self.counts(job_id)
             state = wire.RUNNING if running else wire.QUEUED
             answer = wire.JobAnswer(job_id, state, done, running)
         self._answer(request, 200, wire.encode(answer))
--- a/src/copperpass/core/view.py
+++ b/src/copperpass/core/view.py
@@ -88,7 +88,9 @@
         self.tick(now)
 
     def _take(self, now: float, key: str, raw: bytes | None, version: int) -> None:
-        if version <= self.keys.get(key, 0) and raw is not None:
+        known = self.keys.get(key, 0)
+        if version < known or (version == known and raw is not None):
+            # Guards against replays after a listing: an older removal must not take a newer key.
             return
         if raw is None:
             self.keys.pop(key, None)
--- a/src/copperpass/wire.py
+++ b/src/copperpass/wire.py
@@ -290,10 +290,21 @@
     member: str = ""
 
 
+class PlaceRecord(msgspec.Struct, omit_defaults=True):
+    """Machines of one type, zone and kind: bookings sent, machines rented, machines seen up."""
+
+    type: str
+    zone: str
+    spot: bool
+    booked: dict[str, int] = msgspec.field(default_factory=dict)
+    fresh: list[str] = msgspec.field(default_factory=list)
+    up: list[str] = msgspec.field(default_factory=list)
+
+
 class FleetRecord(msgspec.Struct):
-    """Machines on which tasks may be: name -> [type, zone, spot, address]."""
+    """Every machine that was rented, and the bookings whose answers are not stored."""
 
-    machines: dict[str, list[Any]]
+    places: list[PlaceRecord]
 
 
 encode = msgspec.json.encode
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -23,7 +23,7 @@
         types = {"box": wire.decode(json.dumps({"racks": [TYPE]}).encode(), wire.MachineTypes)
                  .types[0]}
         self.steward = Steward(
-            cluster, self.out, ledger, self.jobs, types, {}, 1, 50, lambda now: True,
+            cluster, self.out, ledger, self.jobs, types, (None, 0), {}, 1, 50, lambda now: True,
             self.now)
         self.steward.begin(self.now)
         self.seq = 0
@@ -203,3 +203,38 @@
     bench.steward.round(bench.now)
     (again,) = bench.take("worker")
     assert json.loads(again.body)["orders"][0]["take"] > attempt
+
+
+def test_ends_of_many_jobs_are_stored_in_one_record_and_then_cleared():
+    bench = Bench()
+    for number in (1, 2):
+        bench.add(number, tasks=2)
+    bench.steward.round(bench.now)
+    (call,) = bench.take("worker")
+    takes = {o["page"]: o["take"] for o in json.loads(call.body)["orders"]}
+    ended = [(t, takes[t], "exited", "done") for t in ("req-000001/0", "req-000002/0")]
+    call.then(bench.now, Outcome(200, wire.encode(bench.message(ended, seq=bench.seq + 1))))
+    bench.seq += 1
+    bench.now += bench.steward.progress.gather_s
+    bench.steward.progress.tick(bench.now)
+    (write,) = bench.take("state")
+    (put,) = json.loads(write.body)["writes"]
+    assert put["put"].startswith("c/ends/") and set(put["value"]) == {"req-000001", "req-000002"}
+    job = bench.jobs.jobs["req-000001"]
+    assert not any(p.stored for p in bench.steward.machines["m-1"].tasks.values())
+    write.then(bench.now, Outcome(200, b'{"issue":90}'))
+    assert job.is_done(0) and job.waiting() == 0
+    assert sum(p.stored for p in bench.steward.machines["m-1"].tasks.values()) == 2
+
+
+def test_an_applied_write_without_an_answer_is_learned_from_the_watch():
+    bench = Bench()
+    call, attempt = bench.start(tasks=2)
+    ended = [("req-000001/0", attempt, "exited", "done")]
+    call.then(bench.now, Outcome(200, wire.encode(bench.message(ended, seq=bench.seq + 1))))
+    bench.steward.progress.tick(bench.now + 5)
+    (write,) = bench.take("state")
+    put = json.loads(write.body)["writes"][0]
+    write.then(bench.now, Outcome(0))
+    bench.jobs.saw_ends(put["put"], json.dumps(put["value"]).encode())
+    assert bench.job.is_done(0) and not bench.job.finished and not bench.job.results
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -125,7 +125,7 @@
     world.cloud.take(victim)
     world.crash(world.leader(), 5.0)
     world.run(1.5 * world.lease_s)
-    assert f"c/m/{victim}" not in world.state.data
+    assert victim not in str(world.state.data["c/fleet"][0])
     world.crash(world.leader(), 5.0)
     world.run_until(lambda: world.leader() and world.nodes[world.leader()].steward.ready, 10)
     world.run(3.0)
