Scarce machine types kept from small tasks; waiting has a bound

Change: a type that large tasks need, because they fit no other, is closed to smaller tasks while large ones are about (and for keep_scarce_s after); late work is due patience_s after it came and goes first from then on; machines in order of price, where time is not tight. Ruled out: holding freed room alone (kept before; the gaps never became large enough).

--- a/src/copperpass/core/dispatch.py
+++ b/src/copperpass/core/dispatch.py
@@ -9,13 +9,13 @@
 from copperpass.core.jobs import Job, fits
 from copperpass.settings import Objective
 
-LATE = 1e6
-
 
 class Aims:
     """The users' aims, by class."""
 
-    def __init__(self, objectives: Iterable[Objective]) -> None:
+    def __init__(self, objectives: Iterable[Objective], patience_s: float = 1e6) -> None:
+        # Work whose aims have all passed is due this long after it came: waiting has a bound.
+        self.patience_s = patience_s
         self.waits: dict[str, list[float]] = {}
         self.ends: dict[str, list[float]] = {}
         self.guarantee: float | None = None
@@ -49,7 +49,7 @@
         ahead = [m for m in moments if m >= now]
         if ahead:
             return min(ahead)
-        return job.arrived + LATE
+        return job.arrived + self.patience_s
 
 
 def judge_guarantees(jobs: Iterable[Job], guarantees: dict[str, float]) -> None:
@@ -69,7 +69,8 @@
 ) -> list[Job]:
     """Jobs by the nearest aim that can still be met; a higher priority counts as `bonus_s` sooner.
 
-    Production goes first in any case, and work whose aims have all passed comes last.
+    Production goes first in any case. Work whose aims have all passed is due after a bounded wait,
+    and from then on overdue: it goes before what can still be in time, so that nothing starves.
     """
 
     def key(job: Job) -> tuple[bool, float, float, str]:
@@ -115,13 +116,14 @@
     machines: dict[str, Machine],
     avoid: set[str],
     now: float,
-    scarce: dict[str, float],
+    scarce: set[str],
     cheap_only: bool,
+    tight: bool,
 ) -> Machine | None:
     """The machine that has the image, is cheap, and has the least room left.
 
-    `scarce` puts a price in seconds on machines of a type that larger tasks depend on.
-    Cheap machines first: then the dear ones fall idle in a lull and can go back.
+    Types in `scarce` are for larger tasks only. Cheap machines first: then the dear ones fall idle
+    in a lull and can go back. Where time is tight, no fetch comes before a low price.
     """
     best: Machine | None = None
     best_score: tuple[float, ...] = ()
@@ -129,7 +131,7 @@
     for machine in usable:
         if not machine.has_room(spec) or not allows(spec, machine.type, machine.zone, machine.spot):
             continue
-        if cheap_only and not machine.spot:
+        if (cheap_only and not machine.spot) or machine.type.name in scarce:
             continue
         if machine.held_from(spec.id, now):
             # Room that was freed by stopping tasks is for the job they were stopped for.
@@ -141,6 +143,8 @@
         if spec.image not in machine.images:
             fetch = spec.image_gb / max(machine.type.fetch_gb_per_s, 1e-3)
         score = (
+            fetch if tight else 0.0,
+            price_of(machine.type, machine.spot) / max(machine.type.cpus, 1e-6),
             fetch,
             (machine.type.cpus > 2 * spec.cpus and cpus - spec.cpus) or 0.0,
             cpus - spec.cpus,
@@ -151,20 +155,57 @@
     return best
 
 
-def scarce_types(
-    spec: wire.Spec, jobs: Iterable[Job], types: Iterable[wire.MachineType], price_s: float
-) -> dict[str, float]:
-    """Types that fit the job but that some larger job needs because few others fit it."""
-    mine = [t for t in types if type_fits(spec, t)]
-    if len(mine) < 2:
-        return {}
-    prices: dict[str, float] = {}
-    for job in jobs:
-        if job.spec.cpus > spec.cpus or job.spec.memory_gb > spec.memory_gb:
-            theirs = {t.name for t in mine if type_fits(job.spec, t)}
-            if len(theirs) < len(mine):
-                prices.update(dict.fromkeys(theirs, price_s))
-    return prices
+def price_of(machine_type: wire.MachineType, spot: bool) -> float:
+    """What a machine costs an hour."""
+    if spot and machine_type.spot_price is not None:
+        return machine_type.spot_price
+    return machine_type.price
+
+
+class Scarce:
+    """Types that large tasks depend on, because they fit no other.
+
+    Small tasks that fit elsewhere would take each gap on them, and a large task then waits for all
+    of them at once. So such a type is kept from small tasks for as long as large ones are about.
+    """
+
+    def __init__(self, types: dict[str, wire.MachineType], keep_s: float) -> None:
+        self.types, self.keep_s = types, keep_s
+        self.seen: dict[frozenset[str], tuple[float, wire.Spec]] = {}
+        self.cache: dict[tuple[float, float, float], set[str]] = {}
+
+    def note(self, now: float, jobs: Iterable[Job]) -> None:
+        """Take in the jobs that are about."""
+        before = set(self.seen)
+        shapes: dict[tuple[float, float, float], wire.Spec] = {}
+        for job in jobs:
+            spec = job.spec
+            shapes.setdefault((spec.cpus, spec.gpus, spec.memory_gb), spec)
+        for spec in shapes.values():
+            fitting = self.fitting(spec)
+            if 0 < len(fitting) < len(self.types):
+                self.seen[fitting] = (now, spec)
+        self.seen = {k: v for k, v in self.seen.items() if now - v[0] <= self.keep_s}
+        if set(self.seen) != before:
+            self.cache.clear()
+
+    def fitting(self, spec: wire.Spec) -> frozenset[str]:
+        """The types that one task fits."""
+        return frozenset(t.name for t in self.types.values() if type_fits(spec, t))
+
+    def closed_to(self, spec: wire.Spec) -> set[str]:
+        """The types that are kept from a job's tasks."""
+        shape = (spec.cpus, spec.gpus, spec.memory_gb)
+        closed = self.cache.get(shape)
+        if closed is None:
+            mine = self.fitting(spec) if spec.types is None else frozenset(spec.types)
+            closed = set()
+            for theirs in self.seen:
+                if theirs < mine:
+                    closed |= theirs
+            if spec.types is None:
+                self.cache[shape] = closed
+        return closed
 
 
 def remaining(placement: Placement, now: float) -> float:
--- a/src/copperpass/core/rental.py
+++ b/src/copperpass/core/rental.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from copperpass import wire
-from copperpass.core.dispatch import Aims, remaining
+from copperpass.core.dispatch import Aims, Scarce, price_of, remaining
 from copperpass.core.fleet import Machine, allows, type_fits
 from copperpass.core.jobs import Job
 
@@ -106,11 +106,14 @@
     refusals: Refusals,
     now: float,
     spot_only: bool,
+    closed: set[str],
 ) -> Place | None:
     """The cheapest place for tasks of a shape, spread over zones."""
     best: Place | None = None
     best_score: tuple[float, int, str] | None = None
     for machine_type in types.values():
+        if machine_type.name in closed:
+            continue
         slots = machine_type.cpus
         if spec is not None:
             if not type_fits(spec, machine_type):
@@ -126,13 +129,9 @@
             ]
             slots = min(count, int(min(per) + 1e-6)) if per else count
         for spot in (True, False):
-            price = machine_type.price
-            if spot:
-                if machine_type.spot_price is None:
-                    continue
-                price = machine_type.spot_price
-            elif spot_only:
+            if (spot and machine_type.spot_price is None) or (spot_only and not spot):
                 continue
+            price = price_of(machine_type, spot)
             for zone in machine_type.zones:
                 place = (machine_type.name, zone, spot)
                 if spec is not None and not allows(spec, machine_type, zone, spot):
@@ -171,6 +170,7 @@
     now: float,
     silence: float,
     patient_boots: float,
+    scarce: Scarce,
 ) -> dict[Place, int]:
     """Machines to rent for the tasks that wait, and for the room that must stay warm."""
     rooms = rooms_of(machines, now, silence)
@@ -194,21 +194,26 @@
         spec = job.spec
         horizon = max(0.0, aims.due(job, now) - now)
         left = count
+        closed = scarce.closed_to(spec)
         for room in rooms:
+            if room.type.name in closed:
+                continue
             left -= room.take(spec, left, horizon)
             if left <= 0:
                 break
         while left > 0 and sum(wanted.values()) < 50:
             # Work that can wait for longer than a boot asks only for the cheap kind at first.
             patient = horizon > patient_boots * max(t.boot_s for t in types.values())
-            place = choose_place(spec, left, types, zones, refusals, now, patient and spec.spot)
+            spot_only = patient and spec.spot
+            place = choose_place(spec, left, types, zones, refusals, now, spot_only, closed)
             if place is None:
                 break
             left -= rent(place).take(spec, left, horizon)
     total = sum(room.type.cpus for room in rooms)
+    dear = {name for names in scarce.seen for name in names}
     for cpus, spot_only in ((warm.any, False), (warm.cheap, True)):
         while total < cpus and sum(wanted.values()) < 50:
-            place = choose_place(None, 1, types, zones, refusals, now, spot_only)
+            place = choose_place(None, 1, types, zones, refusals, now, spot_only, dear)
             if place is None:
                 break
             total += rent(place).type.cpus
@@ -232,8 +237,7 @@
     ]
 
     def dearness(m: Machine) -> float:
-        price = m.type.spot_price if m.spot and m.type.spot_price is not None else m.type.price
-        return -price / max(m.type.cpus, 1e-6)
+        return -price_of(m.type, m.spot) / max(m.type.cpus, 1e-6)
 
     chosen = []
     for m in sorted(idle, key=dearness):
--- a/src/copperpass/core/steward.py
+++ b/src/copperpass/core/steward.py
@@ -47,6 +47,7 @@
         self.base_token = token << TOKEN_SHIFT
         self.entitled = entitled
         self.tuning = tuning or Tuning()
+        self.scarce = dispatch.Scarce(types, self.tuning.keep_scarce_s)
         self.won_at = now
         self.ready = False
         self.machines: dict[str, Machine] = {}
@@ -54,7 +55,7 @@
         self.unsettled: set[str] = set()
         # Machines with any attempt of a job, by job.
         self.where: dict[str, set[str]] = {}
-        self.aims = dispatch.Aims(cluster.objectives)
+        self.aims = dispatch.Aims(cluster.objectives, self.tuning.patience_s)
         self.dirty = False
         self.report_s = cluster.workers.report_s
         self.lease_s = cluster.workers.lease_s * (1 + 4 * DRIFT) + 0.05 * self.report_s
@@ -324,7 +325,7 @@
         if len(job.failed_on) >= 3:
             # Guards the fleet against a job that fails everywhere: back off, longer each time.
             wait = self.report_s * 2 ** min(job.failures, 6)
-            job.hold_until = max(job.hold_until, now + min(wait, 60 * self.report_s))
+            job.hold_until = max(job.hold_until, now + min(wait, self.lease_s))
         suspects = [j for j in machine.errors if j in self.jobs.jobs
                     and len(self.jobs.jobs[j].failed_on) <= 2]
         if len(suspects) >= 2 and not machine.fenced:
@@ -645,10 +646,11 @@
         smallest = min(
             (j.spec.cpus for j in self.jobs.jobs.values() if j.spec.cpus > 0), default=0.0
         )
+        roomy = [m for m in usable if fits(smallest, m.room()[0])]
         holding: set[str] = set()
         stuck: list[Job] = []
         touched: dict[str, Machine] = {}
-        scarce: dict[tuple[float, float], dict[str, float]] = {}
+        self.scarce.note(now, self.jobs.jobs.values())
         while usable:
             names = [name for name, q in order.items() if q]
             if not names:
@@ -675,17 +677,13 @@
             can_wait = slack > self.tuning.patient_boots * self.boot_s
             patient = self.dear_excess and spec.spot and can_wait
             if not over:
-                shape = (spec.cpus, spec.memory_gb)
-                if shape not in scarce:
-                    scarce[shape] = dispatch.scarce_types(
-                        spec, self.jobs.jobs.values(), self.types.values(), self.boot_s / 2
-                    )
+                closed, tight = self.scarce.closed_to(spec), slack < self.boot_s
                 machine = dispatch.best_machine(
-                    job, usable, self.machines, job.failed_on, now, scarce[shape], patient
+                    job, roomy, self.machines, job.failed_on, now, closed, patient, tight
                 )
                 if machine is None and job.failed_on:
                     machine = dispatch.best_machine(
-                        job, usable, self.machines, set(), now, scarce[shape], patient
+                        job, roomy, self.machines, set(), now, closed, patient, tight
                     )
             if machine is None:
                 order[name].pop(0)
@@ -810,7 +808,7 @@
         if not self.unsettled:
             wanted = rental.plan(
                 waiting, self.machines, self.types, self.aims, self.refusals, warm, now,
-                self.silence, self.tuning.patient_boots,
+                self.silence, self.tuning.patient_boots, self.scarce,
             )
             for place, count in wanted.items():
                 if self.renting.get(place, 0) == 0:
--- a/src/copperpass/tuning.py
+++ b/src/copperpass/tuning.py
@@ -17,6 +17,8 @@
     idle_boots: float = 0.5
     patient_boots: float = 1.2
     silence_reports: float = 2.5
+    patience_s: float = 120.0
+    keep_scarce_s: float = 300.0
     preemption: bool = True
 
 
@@ -26,6 +28,8 @@
     "idle_boots": (0.0, 100.0),
     "patient_boots": (0.0, 100.0),
     "silence_reports": (1.5, 20.0),
+    "patience_s": (1.0, 200.0),
+    "keep_scarce_s": (0.0, 100_000.0),
 }
 
 
--- /dev/null
+++ b/tests/test_order.py
@@ -0,0 +1,70 @@
+"""Who starts next and where: bounded waits, and room for the largest."""
+
+import json
+
+import pytest
+
+from copperpass import wire
+from copperpass.core.dispatch import Aims, Scarce, task_order
+from copperpass.core.jobs import make_job
+from copperpass.settings import Objective
+from tests.world import TYPE, job
+
+AIMS = [Objective("wait", "quick", within_s=4.0), Objective("finished", "slow", within_s=100.0)]
+
+
+def made(number, arrived, **more):
+    body = json.dumps({"spec": job(number, **more)}).encode()
+    return make_job(wire.decode(body, wire.JobRecord), number, arrived)
+
+
+def start_of_the_old_job(patience_s):
+    """One job's aims have passed; five fresh ones come each second and one starts."""
+    aims = Aims(AIMS, patience_s)
+    waiting = [made(1, 0.0, slot="slow", run_s=30.0, urgency="normal")]
+    number = 1
+    for second in range(100, 400):
+        for _ in range(5):
+            number += 1
+            waiting.append(made(number, float(second)))
+        first = task_order(waiting, aims, float(second), bonus_s=5.0)[0]
+        waiting.remove(first)
+        if first.spec.id == "req-000001":
+            return second
+    return None
+
+
+def test_waiting_has_a_bound():
+    assert start_of_the_old_job(120.0) in range(100, 130)
+
+
+def test_without_the_bound_the_old_job_starves():
+    assert start_of_the_old_job(1e6) is None
+
+
+def types(*shapes):
+    made = [{**TYPE, "name": n, "cpus": c, "memory_gb": 4 * c} for n, c in shapes]
+    offer = wire.decode(json.dumps({"racks": made}).encode(), wire.MachineTypes)
+    return {t.name: t for t in offer.types}
+
+
+def test_types_that_large_tasks_need_are_kept_from_small_ones_while_large_ones_are_about():
+    scarce = Scarce(types(("small", 8.0), ("large", 64.0)), keep_s=300.0)
+    small, large = made(1, 0.0, cpus=4.0), made(2, 0.0, cpus=32.0)
+    scarce.note(0.0, [small])
+    assert scarce.closed_to(small.spec) == set()
+    scarce.note(10.0, [small, large])
+    assert scarce.closed_to(small.spec) == {"large"}
+    assert scarce.closed_to(large.spec) == set()
+    scarce.note(200.0, [small])
+    assert scarce.closed_to(small.spec) == {"large"}
+    scarce.note(311.0, [small])
+    assert scarce.closed_to(small.spec) == set()
+
+
+@pytest.mark.parametrize("allowed", [["large"], ["small", "large"]])
+def test_a_job_that_names_its_types_is_not_shut_out_of_all(allowed):
+    scarce = Scarce(types(("small", 8.0), ("large", 64.0)), keep_s=300.0)
+    scarce.note(0.0, [made(2, 0.0, cpus=32.0)])
+    named = made(3, 0.0, cpus=4.0, racks=allowed)
+    assert set(allowed) - scarce.closed_to(named.spec)
