--- a/src/copperpass/core/fleet.py
+++ b/src/copperpass/core/fleet.py
@@ -71,6 +71,12 @@
     seq: int = 0
     recorded: bool = False
     settled: bool = False
+    # Known from a report alone: it may be a late copy about a machine that is gone.
+    rumoured: bool = False
+    # Since when what was sent may not arrive, and the token that proves contact again.
+    deaf_since: float | None = None
+    probe: int = 0
+    handed_until: float = float("-inf")
     up: bool = False
     rented_at: float = 0.0
     up_at: float = 0.0
@@ -96,6 +102,11 @@
     used_gpus: float = 0.0
     used_memory: float = 0.0
 
+    @property
+    def contact(self) -> float:
+        """When messages last went both ways, as far as is known."""
+        return self.last_report if self.deaf_since is None else self.deaf_since
+
     def recount(self) -> None:
         """Add up what the active tasks take."""
         active = [p for p in self.tasks.values() if p.active]
@@ -135,6 +146,7 @@
             self.up
             and self.recorded
             and self.settled
+            and self.deaf_since is None
             and not self.releasing
             and not self.fenced
             and not self.failed
--- a/src/copperpass/core/jobs.py
+++ b/src/copperpass/core/jobs.py
@@ -99,6 +99,10 @@
         """How many tasks are neither placed nor done."""
         return self.spec.tasks - self.done_count - len(self.placed) - len(self.finished)
 
+    def ended(self) -> bool:
+        """Whether every task has ended, stored or not."""
+        return self.done_count + len(self.finished) >= self.spec.tasks
+
     def peek(self) -> int | None:
         """The next task to start, or None."""
         while self.again:
--- a/src/copperpass/core/node.py
+++ b/src/copperpass/core/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import OrderedDict
 
 import msgspec
 
@@ -10,7 +11,8 @@
 from copperpass.core.authority import LEAD, TOKEN, Authority, times_of
 from copperpass.core.jobs import ENDS, LIVE, JobTable
 from copperpass.core.ledger import GATHERED, Ledger, Op
-from copperpass.core.ports import Call, Outbox, Outcome
+from copperpass.core.ports import Call, Outbox, Outcome, Reply
+from copperpass.core.relay import KNOWN_GUESTS, Relay
 from copperpass.core.roster import FLEET
 from copperpass.core.steward import Steward
 from copperpass.core.users import UserDesk
@@ -46,6 +48,8 @@
             settings.name, [m.name for m in settings.members], self.times, self.out,
             self.ledger, self.rng, self._authority_changed, now,
         )
+        self.relay = Relay(self.out, cluster.workers.lease_s, cluster.workers.report_s)
+        self.heard: OrderedDict[str, tuple[int, int]] = OrderedDict()
         self.view = View(self.out, self._saw, self.ttl / 2, timeout)
         self.last_state = now
         self.last_worker = float("-inf")
@@ -67,6 +71,7 @@
     def tick(self, now: float) -> None:
         """The passing of time; to be called many times a second."""
         self.view.tick(now)
+        self.relay.tick(now)
         if self.view.listed:
             self.authority.known = True
         self.authority.tick(now)
@@ -95,6 +100,13 @@
                 self.peer_worker[sender] = now - frame.worker_age_ms / 1000
         elif isinstance(frame, peer.Counts):
             self.peer_counts = frame.running
+        elif isinstance(frame, peer.Handed):
+            report = wire.decode(frame.body, wire.Report)
+            if report is not None:
+                status, body = self._answer(now, report, True)
+                self.out.send(sender, peer.Answered(frame.number, status, body))
+        elif isinstance(frame, peer.Answered):
+            self.relay.answered(frame)
         else:
             self.authority.received(now, sender, frame)
 
@@ -102,21 +114,49 @@
         """The state service has answered a request of this node."""
         self.last_state = now
 
-    def report(self, now: float, body: bytes) -> tuple[int, bytes]:
+    def report(self, now: float, request: object, body: bytes) -> None:
         """POST /v1/report."""
         report = wire.decode(body, wire.Report)
         if report is None:
-            return 400, wire.error("malformed report")
-        self.last_worker = now
-        steward = self.steward
-        if steward is None or not self.authority.entitled(now):
-            leader = self.authority.leader_name()
-            return 421, wire.referral(leader if leader != self.settings.name else None)
-        answer = steward.report(now, report)
+            self.out.replies.append(Reply(request, 400, wire.error("malformed report")))
+            return
+        leader = self.authority.leader_name()
+        if self._commands(now) or leader is None or leader == self.settings.name:
+            self.out.replies.append(Reply(request, *self._answer(now, report, False)))
+            return
+        self._heard(now, report)
+        linked = now - self.peer_heard.get(leader, float("-inf")) < self.ttl
+        if linked and self.relay.hands_on(now, report.machine):
+            self.relay.hand_on(now, request, body, leader)
+        else:
+            self.out.replies.append(Reply(request, 421, wire.referral(leader)))
+
+    def _commands(self, now: float) -> bool:
+        return self.steward is not None and self.authority.entitled(now)
+
+    def _answer(self, now: float, report: wire.Report, handed: bool) -> tuple[int, bytes]:
+        """What this node itself answers a report with."""
+        if self.steward is None or not self.authority.entitled(now):
+            return 421, wire.referral(None)
+        answer = self.steward.report(now, report, handed)
         if answer is None:
             return 503, wire.error("not commanded here")
+        if self.steward.last_report == now:
+            self.last_worker = now
         return 200, wire.encode(answer)
 
+    def _heard(self, now: float, report: wire.Report) -> None:
+        """Note that a worker can be heard, unless it may be a late copy: only news counts."""
+        stamp = (report.session, report.seq)
+        before = self.heard.get(report.machine)
+        if before is not None and stamp > before:
+            self.last_worker = now
+        if before is None or stamp > before:
+            self.heard[report.machine] = stamp
+            self.heard.move_to_end(report.machine)
+            if len(self.heard) > KNOWN_GUESTS:
+                self.heard.popitem(last=False)
+
     def healthy(self, now: float) -> bool:
         """Whether this node can take requests now."""
         if not self.types or not self.view.listed:
--- /dev/null
+++ b/src/copperpass/core/relay.py
@@ -0,0 +1,74 @@
+"""Workers whose reports reach a controller that doesn't command them.
+
+A worker that comes for the first time may have lost its way to its commander (a cut between two
+zones holds for longer than a lease): its report is handed on over the link between controllers
+and the commander's answer handed back, which renews its lease. Its next report is referred. If it
+comes back soon after that, it can't get there, and its reports are handed on from then on.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from copperpass import peer, wire
+from copperpass.core.ports import Outbox, Reply
+
+KNOWN_GUESTS = 4000
+
+
+@dataclass(slots=True)
+class Guest:
+    """A worker that reports here although another node commands it."""
+
+    at: float
+    referred: bool = False
+    stuck_until: float = 0.0
+
+
+class Relay:
+    """Hands reports on, and answers them with what comes back."""
+
+    def __init__(self, out: Outbox, lease_s: float, wait_s: float) -> None:
+        self.out, self.lease_s, self.wait_s = out, lease_s, wait_s
+        self.guests: OrderedDict[str, Guest] = OrderedDict()
+        self.pending: OrderedDict[int, tuple[float, object]] = OrderedDict()
+        self.number = 0
+
+    def hands_on(self, now: float, machine: str) -> bool:
+        """Whether a machine's report is to be handed on rather than referred."""
+        guest = self.guests.get(machine)
+        if guest is None or now - guest.at > self.lease_s:
+            guest = self.guests[machine] = Guest(now)
+            self.guests.move_to_end(machine)
+            while len(self.guests) > KNOWN_GUESTS:
+                self.guests.popitem(last=False)
+            return True
+        guest.at = now
+        if guest.referred:
+            guest.referred, guest.stuck_until = False, now + 3 * self.lease_s
+        if now < guest.stuck_until:
+            return True
+        guest.referred = True
+        return False
+
+    def hand_on(self, now: float, request: object, body: bytes, member: str) -> None:
+        """Send a report on."""
+        self.number = (self.number + 1) & 0xFFFFFFFF
+        self.pending[self.number] = (now + self.wait_s, request)
+        self.out.send(member, peer.Handed(self.number, body))
+
+    def answered(self, frame: peer.Answered) -> None:
+        """Pass an answer back; one that comes too late finds nobody waiting."""
+        held = self.pending.pop(frame.number, None)
+        if held is not None:
+            self.out.replies.append(Reply(held[1], frame.status, frame.body))
+
+    def tick(self, now: float) -> None:
+        """Send on their way those who wait for too long."""
+        while self.pending:
+            number, (until, request) = next(iter(self.pending.items()))
+            if now < until:
+                break
+            del self.pending[number]
+            self.out.replies.append(Reply(request, 503, wire.error("not reached")))
--- a/src/copperpass/core/rental.py
+++ b/src/copperpass/core/rental.py
@@ -148,9 +148,9 @@
     """What the machines that serve, or will soon, have to offer."""
     rooms = []
     for m in machines.values():
-        if m.releasing or m.failed or m.fenced or m.notice_until is not None:
+        if m.releasing or m.failed or m.fenced or m.rumoured or m.notice_until is not None:
             continue
-        if m.up and now - m.last_report > silence:
+        if m.up and (now - m.last_report > silence or m.deaf_since is not None):
             continue
         cpus, gpus, memory = m.room()
         frees = [
--- a/src/copperpass/core/steward.py
+++ b/src/copperpass/core/steward.py
@@ -154,8 +154,13 @@
 
     # -- reports --------------------------------------------------------------------
 
-    def report(self, now: float, report: wire.Report) -> wire.ReportAnswer | None:
-        """Take a worker's report; None when it must not be answered with 200."""
+    def report(
+        self, now: float, report: wire.Report, handed: bool = False
+    ) -> wire.ReportAnswer | None:
+        """Take a worker's report; None when it must not be answered with 200.
+
+        `handed`: it came over another controller, since its worker doesn't reach this one.
+        """
         if report.token >> TOKEN_SHIFT > self.epoch:
             return None
         machine = self.machines.get(report.machine)
@@ -166,12 +171,19 @@
             machine = self._new_machine(
                 now, report.machine, machine_type, report.zone, report.spot
             )
-        self.last_report = now
+            # Neither room nor a place for starts until an answer has reached it.
+            machine.rumoured = True
         if (report.session, report.seq) <= (machine.session, machine.seq):
-            # A late copy: it changes nothing, and its answer carries no orders.
-            machine.last_answer = now
+            # A late copy: it changes nothing, and its answer carries no orders. What its answer
+            # could renew was sent before the newest message that we know of came in.
+            machine.last_answer = max(machine.last_answer, machine.last_report)
             return wire.ReportAnswer(machine.token, [])
+        if handed:
+            machine.handed_until = now + 2 * self.report_s
         self._take(now, machine, report, True)
+        if machine.settled:
+            # Only two-way contact counts as hearing workers: a report alone may be a late copy.
+            self.last_report = now
         machine.last_answer = now
         if not machine.recorded:
             self.roster.came_up(now, machine.name, (machine.type.name, machine.zone, machine.spot))
@@ -194,8 +206,10 @@
         if report.notice_s is not None and machine.notice_until is None:
             machine.notice_until = now + report.notice_s
             self._noticed(now, machine)
+        if machine.deaf_since is not None and report.token >= machine.probe:
+            machine.deaf_since, self.dirty = None, True
         if not machine.settled and report.token >= self.base_token:
-            machine.settled = True
+            machine.settled, machine.rumoured = True, False
             self.unsettled.discard(machine.name)
             self.dirty = True
         listed = set()
@@ -209,13 +223,29 @@
             if p is None:
                 p = self._adopt(now, machine, key)
             self._update(now, machine, p, task)
+        belied = False
         for p in list(machine.tasks.values()):
             if p.key not in listed and self._proven_gone(machine, p, report, full):
+                belied = belied or not p.seen
                 self._remove(now, machine, p)
+        if belied:
+            self._strike(now, machine)
         machine.recount()
         if machine.tasks:
             machine.idle_since = now
 
+    def _strike(self, now: float, machine: Machine) -> None:
+        """What was sent has not arrived for certain, although reports do: it may be deaf.
+
+        Such a machine would swallow starts again and again. It gets no new work until it shows a
+        token that only an answer of ours can have brought it, which takes a report if all is well.
+        """
+        machine.token += 1
+        machine.probe = machine.token
+        if machine.deaf_since is None:
+            machine.deaf_since = now
+            self.out.log("debug", "machine may be deaf", machine=machine.name)
+
     def _proven_gone(self, machine: Machine, p: Placement, report: wire.Report, full: bool) -> bool:
         """Whether a report without the task proves that it is not, and will not be, there."""
         if p.seen:
@@ -407,7 +437,8 @@
         """Send starts and stops at once, one request at a time for each machine."""
         if (
             machine.do_in_flight or not machine.address or machine.session == 0
-            or now < machine.do_broken_until or not self.entitled(now) or machine.releasing
+            or now < max(machine.do_broken_until, machine.handed_until)
+            or not self.entitled(now) or machine.releasing
         ):
             return
         stops = [
@@ -450,8 +481,8 @@
         elif outcome.status != 200 or report is None:
             # Unanswered: it may be executed at any later time, until the worker has seen a
             # higher token or begun another session.
-            machine.token += 1
             machine.do_broken_until = now + 2 * self.report_s
+            self._strike(now, machine)
             for p in mine:
                 p.barrier = machine.token
         newer = report is not None and (
@@ -471,10 +502,11 @@
 
     def _store(self, now: float, job: Job) -> None:
         """Store ends: the last makes the job done at once, the others are gathered."""
-        if job.storing or not job.finished:
+        if job.storing:
             return
-        if job.done_count + len(job.finished) < job.spec.tasks:
-            self.progress.note(now, job)
+        if not job.ended():
+            if job.finished:
+                self.progress.note(now, job)
             return
         job.storing = True
         key = LIVE + job.spec.id
@@ -544,24 +576,31 @@
                 # Known from its record alone and silent for a whole lease: it is gone, or cut off
                 # with nothing on it. Its record would hold up the next change of leader too.
                 self._release(now, [machine])
-            quiet = now - machine.last_report
+            quiet = now - machine.contact
             if machine.up and quiet > 1.5 * self.silence and not machine.releasing:
                 # A silent machine among speaking ones: have the cloud end it, which frees its
                 # tasks sooner than its lease would.
                 silent = sum(
                     1 for m in self.machines.values()
-                    if m.up and now - m.last_report > self.silence
+                    if m.up and now - m.contact > self.silence
                 )
                 live = sum(1 for m in self.machines.values() if m.up)
-                if silent * 3 <= live or now - machine.last_report > self.lease_s:
+                if silent * 3 <= live or quiet > self.lease_s:
                     self._release(now, [machine])
+            if machine.up and not machine.settled and not machine.releasing and (
+                now - machine.up_at > self.lease_s
+            ):
+                # It speaks, but for a whole lease no answer has reached it: its session is over
+                # by then, and a machine that can be commanded is worth more.
+                self._release(now, [machine])
             slow = 5 * machine.type.boot_s
             if not machine.up and not machine.releasing and now - machine.rented_at > slow:
                 self._release(now, [machine])
             if machine.releasing and now - machine.release_sent > 2.0:
                 self._release(now, [machine])
         for job in list(self.jobs.jobs.values()):
-            if job.finished and not job.storing:
+            # Also a job all of whose ends an earlier authority stored without ending it.
+            if (job.finished or job.ended()) and not job.storing:
                 self._store(now, job)
         for name in [n for n, at in self.gone.items()
                      if now - at > 20 * self.cluster.cloud.list_lag_s + self.lease_s]:
--- a/src/copperpass/net/server.py
+++ b/src/copperpass/net/server.py
@@ -27,8 +27,7 @@
         content: Any = self.content
         if path == wire.PATH_REPORT:
             if self._allow(method, "POST"):
-                status, body = service.report(content.read())
-                self.reply(status, body)
+                service.report(self, content.read(wire.MAX_BODY + 1))
         elif path == wire.PATH_HEALTH:
             if self._allow(method, "GET"):
                 self.reply(*service.health())
--- a/src/copperpass/net/service.py
+++ b/src/copperpass/net/service.py
@@ -85,15 +85,14 @@
         self.soon = None
         self._run()
 
-    def report(self, body: bytes) -> tuple[int, bytes]:
+    def report(self, request: Any, body: bytes) -> None:
         """A worker's report."""
         try:
-            answer = self.node.report(self.now(), body)
+            self.node.report(self.now(), request, body)
         except Exception:
             logger.exception("report failed")
-            answer = 503, b"{}"
+            request.reply(503, b"{}")
         self._drain()
-        return answer
 
     def health(self) -> tuple[int, bytes]:
         """The load balancer's probe."""
--- a/src/copperpass/peer.py
+++ b/src/copperpass/peer.py
@@ -10,15 +10,18 @@
 import struct
 from dataclasses import dataclass, field
 
-MAGIC, VERSION = b"cp", 1
-HEADER = struct.Struct("!2sBBH")
-HELLO, BEAT, ASK, PROMISE, COUNTS = range(1, 6)
+MAGIC, VERSION = b"cp", 2
+HEADER = struct.Struct("!2sBBI")
+HELLO, BEAT, ASK, PROMISE, COUNTS, HANDED, ANSWERED = range(1, 8)
 _BEAT = struct.Struct("!QII")
 _ASK = struct.Struct("!QQ")
 _ANSWER = struct.Struct("!QQB")
 _COUNT = struct.Struct("!BI")
 NEVER = 0xFFFFFFFF
-MAX_PAYLOAD = 0xFFFF
+_HANDED = struct.Struct("!I")
+_ANSWERED = struct.Struct("!IH")
+# A report or its answer may have 64 KiB; nothing else comes near it.
+MAX_PAYLOAD = 0x11000
 
 
 class BadFrame(Exception):
@@ -65,7 +68,24 @@
     running: dict[str, int] = field(default_factory=dict)
 
 
-Frame = Hello | Beat | Ask | Promise | Counts
+@dataclass(frozen=True, slots=True)
+class Handed:
+    """A worker's report, handed on to the member that commands its machine."""
+
+    number: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """What the worker whose report was handed on is to be answered."""
+
+    number: int
+    status: int
+    body: bytes
+
+
+Frame = Hello | Beat | Ask | Promise | Counts | Handed | Answered
 
 
 def pack(frame: Frame) -> bytes:
@@ -79,6 +99,10 @@
     elif isinstance(frame, Promise):
         kind = PROMISE
         payload = _ANSWER.pack(frame.token, frame.number, frame.granted)
+    elif isinstance(frame, Handed):
+        kind, payload = HANDED, _HANDED.pack(frame.number) + frame.body
+    elif isinstance(frame, Answered):
+        kind, payload = ANSWERED, _ANSWERED.pack(frame.number, frame.status) + frame.body
     else:
         kind, parts, size = COUNTS, [], 0
         for job_id, count in frame.running.items():
@@ -104,6 +128,12 @@
             if granted > 1:
                 raise BadFrame("neither yes nor no")
             return Promise(token, number, bool(granted))
+        if kind == HANDED:
+            (number,) = _HANDED.unpack_from(payload)
+            return Handed(number, payload[_HANDED.size :])
+        if kind == ANSWERED:
+            number, status = _ANSWERED.unpack_from(payload)
+            return Answered(number, status, payload[_ANSWERED.size :])
         if kind == COUNTS:
             running: dict[str, int] = {}
             at = 0
@@ -135,6 +165,8 @@
             magic, version, kind, length = HEADER.unpack_from(self.buffer)
             if magic != MAGIC or version != VERSION:
                 raise BadFrame("not a frame of this version")
+            if length > MAX_PAYLOAD:
+                raise BadFrame("too long")
             if len(self.buffer) < HEADER.size + length:
                 break
             payload = self.buffer[HEADER.size : HEADER.size + length]
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -10,6 +10,7 @@
 FRAMES = [
     peer.Hello("n1"), peer.Beat(7, 12, peer.NEVER), peer.Ask(7, 9), peer.Promise(7, 9, True),
     peer.Promise(7, 9, False), peer.Counts({"req-000001": 3, "req-000002": 1}), peer.Counts({}),
+    peer.Handed(7, b"{}" * 30000), peer.Answered(7, 421, b""),
 ]
 
 
@@ -29,13 +30,16 @@
     "data",
     [
         b"GET / HTTP/1.1\r\n",
-        struct.pack("!2sBBH", b"cp", 2, peer.ASK, 16) + bytes(16),
-        struct.pack("!2sBBH", b"cp", 1, 99, 0),
-        struct.pack("!2sBBH", b"cp", 1, peer.ASK, 3) + b"abc",
-        struct.pack("!2sBBH", b"cp", 1, peer.ASK, 17) + bytes(17),
-        struct.pack("!2sBBH", b"cp", 1, peer.PROMISE, 17) + bytes(16) + b"\x07",
-        struct.pack("!2sBBH", b"cp", 1, peer.COUNTS, 6) + b"\x09\x00\x00\x00\x01x",
-        struct.pack("!2sBBH", b"cp", 1, peer.HELLO, 1) + b"\xff",
+        struct.pack("!2sBBI", b"cp", 9, peer.ASK, 16) + bytes(16),
+        struct.pack("!2sBBI", b"cp", 2, 99, 0),
+        struct.pack("!2sBBI", b"cp", 2, peer.ASK, 3) + b"abc",
+        struct.pack("!2sBBI", b"cp", 2, peer.ASK, 17) + bytes(17),
+        struct.pack("!2sBBI", b"cp", 2, peer.PROMISE, 17) + bytes(16) + b"\x07",
+        struct.pack("!2sBBI", b"cp", 2, peer.COUNTS, 6) + b"\x09\x00\x00\x00\x01x",
+        struct.pack("!2sBBI", b"cp", 2, peer.HELLO, 1) + b"\xff",
+        struct.pack("!2sBBI", b"cp", 2, peer.HANDED, 2) + b"ab",
+        struct.pack("!2sBBI", b"cp", 2, peer.ANSWERED, 5) + b"abcde",
+        struct.pack("!2sBBI", b"cp", 2, peer.HANDED, 1 << 20),
     ],
 )
 def test_bad_bytes_are_refused(data):
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -56,8 +56,8 @@
 class FakeService:
     """Answers in a way that shows what it was asked."""
 
-    def report(self, body):
-        return 421, json.dumps({"editor": body.decode()}).encode()
+    def report(self, request, body):
+        request.reply(421, json.dumps({"editor": body.decode()}).encode())
 
     def health(self):
         return 200, b"{}"
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -238,3 +238,14 @@
     write.then(bench.now, Outcome(0))
     bench.jobs.saw_ends(put["put"], json.dumps(put["value"]).encode())
     assert bench.job.is_done(0) and not bench.job.finished and not bench.job.results
+
+
+def test_a_job_whose_ends_were_all_stored_by_an_earlier_authority_still_ends():
+    # The record of ends was written with the last end in it, and then that leader was gone.
+    bench = Bench()
+    bench.add(tasks=2)
+    bench.jobs.saw_ends("c/ends/0", b'{"req-000001":"Aw=="}')
+    assert bench.job.done_count == 2
+    bench.steward._scan(bench.now)
+    (write,) = bench.take("state")
+    assert [w.get("put") for w in json.loads(write.body)["writes"]] == [None, "d/job/req-000001"]
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -1,10 +1,11 @@
 """Short stories of whole days, played by real cores against stand-ins in memory."""
 
+import functools
 import random
 
 import pytest
 
-from tests.world import World, job
+from tests.world import WorkerRequest, World, job
 
 
 def finished(world, *numbers):
@@ -184,6 +185,128 @@
     assert worker.token > 0 and not world.broken
 
 
+def running(world):
+    return sum(len(w.on_it()) for w in world.cloud.workers())
+
+
+def test_workers_behind_a_cut_are_reached_over_another_controller():
+    world = World()
+    world.run_until(world.leader)
+    world.submit(job(1, tasks=6, run_s=60.0))
+    world.run_until(lambda: running(world) == 6, 60)
+    leader, starts = world.leader(), world.starts
+    for worker in world.cloud.workers():
+        if worker.zone != "a":
+            world.cut(leader, worker.name)
+    world.run(2.5 * world.lease_s)
+    assert world.leader() == leader
+    assert all(w.session == 1 for w in world.cloud.workers()), "a lease ran out behind the cut"
+    world.heal()
+    world.run_until(finished(world, 1), 120)
+    assert world.starts == starts and not world.broken
+
+
+def test_a_deaf_machine_gets_no_work_and_is_returned():
+    world = World()
+    world.run_until(world.leader)
+    world.submit(job(1, tasks=1, cpus=1.0, run_s=1.0))
+    world.run_until(finished(world, 1), 90)
+    deaf = world.cloud.workers()[0]
+    world.deaf.add(deaf.name)
+    leader = world.leader()
+    machine = world.nodes[leader].steward.machines[deaf.name]
+    given = []
+    for number in range(2, 12):
+        world.submit(job(number, tasks=2, cpus=4.0, run_s=5.0))
+        world.run(1.0)
+        given.append(sum(p.active for p in machine.tasks.values()))
+    assert machine.deaf_since is not None or not deaf.alive
+    world.run_until(lambda: not deaf.alive, 3 * world.lease_s)
+    world.run_until(finished(world, *range(2, 12)), 150)
+    assert not world.broken
+
+
+def test_a_deaf_machine_that_hears_again_is_used_again():
+    world = World()
+    world.run_until(world.leader)
+    world.submit(job(1, tasks=1, cpus=1.0, run_s=1.0))
+    world.run_until(finished(world, 1), 90)
+    for worker in world.cloud.workers():
+        world.deaf.add(worker.name)
+    world.submit(job(2, tasks=4, cpus=4.0, run_s=5.0))
+    steward = world.nodes[world.leader()].steward
+    world.run_until(lambda: any(m.deaf_since for m in steward.machines.values()), 15)
+    world.deaf.clear()
+    world.run_until(lambda: not any(m.deaf_since for m in steward.machines.values()), 10)
+    world.run_until(finished(world, 2), 60)
+    assert not world.broken
+
+
+def test_late_copies_revive_nothing_and_count_for_nothing():
+    world = World()
+    world.run_until(world.leader)
+    world.submit(job(1, tasks=2, run_s=20.0))
+    world.run_until(lambda: running(world) == 2, 60)
+    copies = [body for w in world.cloud.workers() for _, body in w.sent[-4:]]
+    old = world.leader()
+    for worker in world.cloud.workers():
+        world.cloud.take(worker.name)
+    world.run(2.5 * world.lease_s)
+    world.crash(old, 5.0)
+    world.run_until(lambda: world.leader() not in (None, old), 20)
+    node = world.nodes[world.leader()]
+    world.run_until(lambda: node.steward.ready, 5)
+    for _ in range(3):
+        heard = node.last_worker, node.steward.last_report
+        for body in copies:
+            world.copy(world.leader(), body)
+        assert (node.last_worker, node.steward.last_report) == heard
+        world.run(0.5)
+    revived = [m for n, m in node.steward.machines.items() if f'"{n}"'.encode() in b"".join(copies)]
+    assert not any(m.usable(world.now, 99.0) for m in revived)
+    world.run_until(finished(world, 1), 150)
+    assert not world.broken
+
+
+def test_a_copy_does_not_stretch_the_end_of_a_lease():
+    world = World()
+    world.run_until(world.leader)
+    world.submit(job(1, tasks=2, run_s=300.0))
+    world.run_until(lambda: running(world) == 2, 60)
+    worker = next(w for w in world.cloud.workers() if w.on_it())
+    leader = world.leader()
+    machine = world.nodes[leader].steward.machines[worker.name]
+    copy = worker.sent[-1][1]
+    for name in world.names:
+        world.cut(name, worker.name)
+    world.cut("cloud", leader)
+    at = world.now
+    while world.now < at + 1.3 * world.lease_s:
+        world.copy(leader, copy)
+        world.run(1.0)
+    assert not machine.tasks, "copies must not hold up what a lease's end proves"
+
+
+def test_a_controller_with_workers_alone_stops_answering_them_in_time():
+    world = World()
+    world.run_until(world.leader)
+    world.submit(job(1, tasks=4, run_s=60.0))
+    world.run_until(lambda: running(world) == 4, 60)
+    old, starts = world.leader(), world.starts
+    world.refused.add(old)
+    for name in world.names:
+        if name != old:
+            world.cut(old, name)
+    world.run_until(lambda: world.leader() not in (None, old), 10)
+    answers = []
+    body = world.cloud.workers()[0].sent[-1][1]
+    world.nodes[old].report(world.now, WorkerRequest(lambda s, b: answers.append(s)), body)
+    world.drain(old)
+    assert answers == [421]
+    world.run_until(finished(world, 1), 120)
+    assert world.starts == starts and not world.broken
+
+
 @pytest.mark.parametrize("seed", range(1, 9))
 def test_random_days_keep_every_rule(seed):
     world = World(seed=seed)
@@ -210,15 +333,25 @@
         elif act < 0.70 and number and names:
             world.poll(f"req-{rng.randint(1, number):06d}")
         elif act < 0.78 and names:
-            world.crash(rng.choice(names), rng.choice([0.2, 2.0, 6.0]))
+            world.crash(rng.choice(names), rng.choice([0.1, 0.4, 2.0, 6.0]))
         elif act < 0.86:
             ends = names + [w.name for w in world.cloud.workers()] + ["state"]
             if len(ends) > 1:
                 for _ in range(rng.randint(1, 6)):
                     world.cut(*rng.sample(ends, 2))
-        elif act < 0.92:
+        elif act < 0.89:
+            for worker in world.cloud.workers():
+                if worker.sent and names and rng.random() < 0.5:
+                    # A late copy of a report, to any controller.
+                    _, body = rng.choice(worker.sent[-40:])
+                    late = functools.partial(world.copy, rng.choice(names), body)
+                    world.after(rng.uniform(0.5, 2.0 * world.lease_s), late)
+        elif act < 0.90 and world.cloud.workers():
+            world.deaf = {rng.choice(world.cloud.workers()).name}
+        elif act < 0.93:
             world.heal()
-        elif act < 0.95:
+            world.deaf = set()
+        elif act < 0.955:
             world.state.down = True
             world.run(rng.uniform(2, 20))
             world.state.down = False
@@ -228,7 +361,16 @@
         elif world.cloud.machines:
             world.cloud.take(rng.choice(sorted(world.cloud.machines)))
     world.heal()
-    world.run(90.0)
+    world.deaf.clear()
+    world.run(75.0)
     world.check_cancelled()
+    accepted = {j for j, status in world.told.items() if j not in world.cancelled}
+    polls = {j: world.poll(j) for j in sorted(accepted)}
+    world.run(3.0)
+    silent = [j for j, poll in polls.items() if poll.status != 200]
+    assert not silent, f"forgotten: {silent}"
+    world.run(400.0)
+    left = [j for j in accepted if f"d/job/{j}" not in world.state.data]
+    assert not left, [world.specs[j] for j in left]
     assert not world.broken
     assert world.starts > 20
--- a/tests/world.py
+++ b/tests/world.py
@@ -188,6 +188,7 @@
         self.alive = True
         self.sick = False
         self.notice = None
+        self.sent = []
         self.node = world.rng.randrange(len(world.names))
         world.after(0.01, self.report)
         self.watch_lease()
@@ -241,7 +242,9 @@
                 self.node = (self.node + 1) % len(self.world.names)
                 self.world.after(1.0, self.report)
 
-        self.world.to_node(self.name, target, lambda n, now: n.report(now, self.body()), reply)
+        body = self.body()
+        self.sent.append((target, body))
+        self.world.to_node(self.name, target, body, reply)
         self.world.after(4.0, lambda: reply(0, b"{}"))
 
     def direct(self, raw, reply):
@@ -360,6 +363,13 @@
         return [m["worker"] for m in self.machines.values() if m["worker"]]
 
 
+class WorkerRequest:
+    """A worker's report that waits for its answer."""
+
+    def __init__(self, answer):
+        self.answer = answer
+
+
 class User:
     """One request and its answer."""
 
@@ -379,7 +389,7 @@
         self.specs, self.completed, self.cancelled = {}, set(), {}
         self.told, self.broken = {}, []
         self.nodes, self.life = {}, dict.fromkeys(self.names, 0)
-        self.cuts, self.held = set(), []
+        self.cuts, self.held, self.deaf = set(), [], set()
         self.refused = set()
         self.starts = 0
         for name in self.names:
@@ -414,7 +424,9 @@
         for action in held:
             self.after(self.rng.uniform(0.0, 0.5), action)
 
-    def carry(self, a, b, action):
+    def carry(self, a, b, action, back=False):
+        if b in self.deaf and (back or a in self.names):
+            return
         if frozenset((a, b)) in self.cuts:
             if self.rng.random() < 0.7:
                 self.held.append(action)
@@ -443,15 +455,23 @@
             self.drain(name)
             self.after(0.05, lambda: self.tick(name, life))
 
-    def to_node(self, sender, name, ask, reply):
+    def copy(self, name, body):
+        """A late copy of a report: nobody waits for the answer."""
+        if name in self.nodes:
+            self.nodes[name].report(self.now, WorkerRequest(lambda status, body: None), body)
+            self.drain(name)
+
+    def to_node(self, sender, name, body, reply):
         def arrive():
             node = self.nodes.get(name)
             if node is None:
                 reply(0, b"{}")
                 return
-            status, body = ask(node, self.now)
+            asker = WorkerRequest(
+                lambda status, body: self.carry(name, sender, lambda: reply(status, body),
+                                                back=True))
+            node.report(self.now, asker, body)
             self.drain(name)
-            self.carry(name, sender, lambda: reply(status, body))
 
         self.carry(sender, name, arrive)
 
@@ -463,6 +483,9 @@
         out.logs.clear()
         for reply in out.replies:
             user = reply.request
+            if isinstance(user, WorkerRequest):
+                user.answer(reply.status, reply.body)
+                continue
             user.status, user.retry_after = reply.status, reply.retry_after
             user.body = json.loads(reply.body)
             self.check_answer(user)
