--- a/src/copperpass/core/authority.py
+++ b/src/copperpass/core/authority.py
@@ -147,6 +147,13 @@
         """Whether this node may act for the controllers at this moment."""
         return self.leading and (now < self.lease_until or self.bridged(now))
 
+    def remaining(self, now: float) -> float:
+        """For how long the authority certainly lasts from here on."""
+        if not self.leading:
+            return 0.0
+        promised = min((self.promised.get(o, 0.0) for o in self.others), default=float("inf"))
+        return max(0.0, self.lease_until - now, min(promised, self.bridge_until) - now)
+
     def bridged(self, now: float) -> bool:
         """Whether the others' promises carry the authority without the key."""
         backed = all(now < self.promised.get(other, 0.0) for other in self.others)
--- /dev/null
+++ b/src/copperpass/core/directory.py
@@ -0,0 +1,154 @@
+"""What a leader and the owners tell one another: two tables that are copied over unsure links.
+
+Both tables hold one entry a machine, and only the newest counts; so a lost frame is mended by
+sending again what has not been acknowledged, and a repeated one changes nothing.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Generic, Protocol, TypeVar
+
+UNPOOLED = 255
+# Who a machine may hold tasks for that its commander has not seen: nobody, anybody, its own pool.
+EMPTY, ANYBODY, OWN_POOL = range(3)
+
+# A token says in its high bits which term of which leader it belongs to, then which handover of a
+# machine, and in the low bits how often its commander has raised it.
+EPOCH_SHIFT, HANDOVER_SHIFT = 40, 20
+MOST_HANDOVERS = 1 << (EPOCH_SHIFT - HANDOVER_SHIFT)
+
+
+def base_token(epoch: int, handover: int) -> int:
+    """The lowest token of a machine's handover."""
+    return (epoch << EPOCH_SHIFT) + (handover << HANDOVER_SHIFT)
+
+
+@dataclass(frozen=True, slots=True)
+class Contact:
+    """Where a machine that is handed over empty was heard last."""
+
+    address: str
+    session: int
+    seq: int
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A machine in the leader's table: whose it is, and under which token."""
+
+    name: str
+    type: str
+    zone: str
+    spot: bool
+    pool: int
+    base: int
+    may_hold: int = EMPTY
+    recorded: bool = False
+    # Its owner shall give it back if it is idle (`vacate`: in any case), to be used elsewhere.
+    back: bool = False
+    vacate: bool = False
+    failed: bool = False
+    gone: bool = False
+    contact: Contact | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Status:
+    """A machine in an owner's table: what its reports have shown."""
+
+    name: str
+    base: int
+    up: bool = False
+    settled: bool = False
+    idle: bool = False
+    # Given back: its owner commands it no more. `pool`: whose tasks are on it, if not the owner's.
+    given: bool = False
+    pool: int = UNPOOLED
+    # Its owner wants it deleted.
+    release: bool = False
+    used_cpus: float = 0.0
+    contact: Contact | None = None
+
+
+class Named(Protocol):
+    """Whatever is told apart by a machine's name."""
+
+    @property
+    def name(self) -> str:
+        """The machine's name."""
+
+
+T = TypeVar("T", bound=Named)
+
+
+class Table(Generic[T]):
+    """The sender's side: numbered entries, the newest for each machine."""
+
+    def __init__(self) -> None:
+        self.entries: dict[str, tuple[int, T]] = {}
+        self.seq = 0
+
+    def put(self, entry: T) -> bool:
+        """Set a machine's entry; says whether that changed anything."""
+        held = self.entries.get(entry.name)
+        if held is not None and held[1] == entry:
+            return False
+        self.seq += 1
+        # Dictionaries keep the order of insertion: the newest stays last.
+        self.entries.pop(entry.name, None)
+        self.entries[entry.name] = (self.seq, entry)
+        return True
+
+    def after(self, seq: int, most: int) -> tuple[list[T], int]:
+        """Up to `most` entries newer than a number, oldest first, and the last one's number."""
+        found: list[T] = []
+        upto = seq
+        if seq >= self.seq:
+            return found, upto
+        for number, entry in self.entries.values():
+            if number > seq:
+                found.append(entry)
+                upto = number
+                if len(found) >= most:
+                    return found, upto
+        return found, self.seq
+
+
+class Feed(Generic[T]):
+    """How far a receiver is known to have come, and what to send it."""
+
+    def __init__(self, table: Table[T], patience: int = 3) -> None:
+        self.table, self.patience = table, patience
+        self.acked = self.sent = 0
+        self.idle = 0
+
+    def acknowledged(self, seq: int) -> None:
+        """The receiver has everything up to a number; what was lost is sent again."""
+        if seq > self.acked or seq >= self.sent:
+            self.acked, self.idle = max(self.acked, seq), 0
+            self.sent = max(self.sent, self.acked)
+            return
+        self.idle += 1
+        if self.idle >= self.patience:
+            self.sent, self.idle = self.acked, 0
+
+    def next(self, most: int) -> tuple[int, int, list[T]]:
+        """The next batch: the number before it, its last number, its entries."""
+        entries, upto = self.table.after(self.sent, most)
+        before, self.sent = self.sent, upto
+        return before, upto, entries
+
+
+class Inbox:
+    """The receiver's side: takes batches in order, without gaps."""
+
+    def __init__(self) -> None:
+        self.applied = 0
+
+    def takes(self, before: int, upto: int) -> bool:
+        """Whether a batch may be applied now."""
+        if before > self.applied:
+            return False
+        self.applied = max(self.applied, upto)
+        return True
--- a/src/copperpass/core/fleet.py
+++ b/src/copperpass/core/fleet.py
@@ -45,6 +45,9 @@
     stop_sent: float = 0.0
     stopping_for: str = ""
     stored: bool = False
+    # A task of another pool, which only its owner may judge.
+    foreign: bool = False
+    pool: int = 255
 
     @property
     def key(self) -> Key:
@@ -65,28 +68,30 @@
     type: wire.MachineType
     zone: str
     spot: bool
+    # The lowest token of this handover; `token` is raised above it when needed.
+    base: int = 0
     address: str = ""
     token: int = 0
     session: int = 0
     seq: int = 0
     recorded: bool = False
     settled: bool = False
-    # Known from a report alone: it may be a late copy about a machine that is gone.
-    rumoured: bool = False
+    # Tasks of another pool are here.
+    foreign: bool = False
+    # The leader wants it back as soon as it is empty.
+    vacating: bool = False
     # Since when what was sent may not arrive, and the token that proves contact again.
     deaf_since: float | None = None
     probe: int = 0
     handed_until: float = float("-inf")
     up: bool = False
-    rented_at: float = 0.0
     up_at: float = 0.0
     last_report: float = float("-inf")
     last_answer: float = float("-inf")
     notice_until: float | None = None
-    listed: bool = False
     failed: bool = False
+    # The leader is asked to have it deleted.
     releasing: bool = False
-    release_sent: float = float("-inf")
     fenced: bool = False
     idle_since: float = 0.0
     hold_until: float = 0.0
@@ -107,6 +112,10 @@
         """When messages last went both ways, as far as is known."""
         return self.last_report if self.deaf_since is None else self.deaf_since
 
+    def empty(self) -> bool:
+        """Whether nothing is here, nor on its way, for certain."""
+        return not (self.tasks or self.starts or self.do_in_flight)
+
     def recount(self) -> None:
         """Add up what the active tasks take."""
         active = [p for p in self.tasks.values() if p.active]
@@ -148,6 +157,8 @@
             and self.settled
             and self.deaf_since is None
             and not self.releasing
+            and not self.vacating
+            and not self.foreign
             and not self.fenced
             and not self.failed
             and self.notice_until is None
--- /dev/null
+++ b/src/copperpass/core/holder.py
@@ -0,0 +1,204 @@
+"""A member's side of the grants: what the leader has told it, and the pools it owns meanwhile."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+
+from copperpass import peer
+from copperpass.core.authority import DRIFT
+from copperpass.core.directory import Entry, Feed, Inbox, Status, Table
+from copperpass.core.landlord import GRANT_PER_TTL, UNKNOWN_REVISION, Landlord
+from copperpass.core.owner import Images, Owner
+from copperpass.core.ports import Outbox
+
+# Entries to a frame: some 70 bytes each.
+BATCH = 400
+PULLS_PER_GRANT = 6
+MakeOwner = Callable[[peer.Share], Owner]
+
+
+class Holder:
+    """Follows one leader's term; pools and the directory of machines end with it."""
+
+    def __init__(
+        self, member: str, incarnation: int, ttl: float, plan_s: float, out: Outbox,
+        make: MakeOwner,
+    ) -> None:
+        self.member, self.incarnation, self.out, self.make = member, incarnation, out, make
+        self.pull_s = GRANT_PER_TTL * ttl / PULLS_PER_GRANT
+        self.plan_s = plan_s
+        self.epoch = 0
+        self.leader = ""
+        self.landlord: Landlord | None = None
+        self.local: Feed[Entry] | None = None
+        self.owners: dict[int, Owner] = {}
+        self.shares: dict[int, peer.Share] = {}
+        self.directory: dict[str, Entry] = {}
+        # What the terms before knew; kept until a later term has said better.
+        self.hints: dict[str, Entry] = {}
+        self.owned_before: dict[int, str] = {}
+        self.images: Images = {}
+        self.token_version = 0
+        self._begin(0, "")
+
+    def _begin(self, epoch: int, leader: str) -> None:
+        self.hints.update(self.directory)
+        self.hints = {n: e for n, e in self.hints.items() if not e.gone}
+        self.owned_before.update({n: s.member for n, s in self.shares.items()})
+        self.epoch, self.leader = epoch, leader
+        self.landlord = self.local = None
+        for owner in self.owners.values():
+            owner.over = True
+        self.owners, self.shares, self.directory = {}, {}, {}
+        self.inbox = Inbox()
+        self.table: Table[Status] = Table()
+        self.feed = Feed(self.table)
+        self.until = float("-inf")
+        self.number = self.latest = 0
+        self.asked: OrderedDict[int, float] = OrderedDict()
+        self.dear_excess = True
+        self.next_pull = self.next_status = self.next_wants = float("-inf")
+
+    # -- whom to follow ---------------------------------------------------------------
+
+    def follow(self, leader: str, epoch: int) -> None:
+        """Another member leads."""
+        if (leader, epoch) != (self.leader, self.epoch) and epoch >= self.epoch:
+            self._begin(epoch, leader)
+
+    def lead(self, landlord: Landlord) -> None:
+        """The member leads by itself."""
+        self._begin(landlord.epoch, self.member)
+        self.landlord, self.local = landlord, Feed(landlord.table)
+
+    def leave(self) -> None:
+        """Nobody is followed: all pools end."""
+        self._begin(self.epoch, "")
+
+    def entitled(self, now: float) -> bool:
+        """Whether this member's pools are its own at this moment."""
+        if self.landlord is not None:
+            return self.landlord.authority.entitled(now)
+        return now < self.until
+
+    # -- time ---------------------------------------------------------------------------
+
+    def tick(self, now: float, view_revision: int) -> None:
+        """Pull, tell and let the owners work."""
+        if not self.leader:
+            return
+        landlord = self.landlord
+        if landlord is not None:
+            self._local(now, landlord)
+        elif now >= self.next_pull:
+            self.next_pull = now + self.pull_s
+            self.number = (self.number + 1) & 0xFFFFFFFF
+            self.asked[self.number] = now
+            while len(self.asked) > 4 * PULLS_PER_GRANT:
+                self.asked.popitem(last=False)
+            self.out.send(self.leader, peer.Pull(
+                self.epoch, self.incarnation, self.number, self.inbox.applied))
+        for number, owner in self.owners.items():
+            share = self.shares[number]
+            known = share.revision != UNKNOWN_REVISION and view_revision >= share.revision
+            if not owner.ready and known and self.inbox.applied >= share.at:
+                owner.begin(now)
+            owner.dear_excess = self.dear_excess
+            owner.tick(now)
+        if now >= self.next_status and self.entitled(now):
+            self.next_status = now + self.pull_s / 4
+            self._tell(now)
+        if now >= self.next_wants and self.entitled(now):
+            self.next_wants = now + self.plan_s
+            for number, owner in self.owners.items():
+                if owner.ready:
+                    self._send(now, peer.Wants(
+                        self.epoch, number, self.inbox.applied, tuple(owner.wants(now)[:500])))
+
+    def _local(self, now: float, landlord: Landlord) -> None:
+        assert self.local is not None
+        _, upto, entries = self.local.next(1 << 30)
+        self.inbox.applied = upto
+        self.dear_excess = landlord.dear_excess
+        self.token_version = landlord.token_version()
+        self._learn(now, entries)
+        self._share(now, landlord.shares())
+
+    def _send(self, now: float, frame: peer.Wants | peer.Statuses) -> None:
+        if self.landlord is None:
+            self.out.send(self.leader, frame)
+        elif isinstance(frame, peer.Wants):
+            self.landlord.asked(now, frame)
+        else:
+            self.landlord.told(now, self.member, frame.statuses)
+
+    def _tell(self, now: float) -> None:
+        for owner in self.owners.values():
+            for status in owner.statuses(now):
+                self.table.put(status)
+        while self.feed.sent < self.table.seq:
+            before, upto, statuses = self.feed.next(BATCH)
+            self._send(now, peer.Statuses(
+                self.epoch, self.incarnation, before, upto, tuple(statuses)))
+        if self.landlord is not None:
+            self.feed.acknowledged(self.feed.sent)
+            self._local(now, self.landlord)
+
+    # -- what the leader tells ------------------------------------------------------------
+
+    def granted(self, now: float, sender: str, grant: peer.Grant) -> None:
+        """The leader has answered a pull."""
+        asked = self.asked.get(grant.number)
+        mine = grant.epoch == self.epoch and grant.incarnation == self.incarnation
+        if sender != self.leader or not mine or asked is None or grant.number <= self.latest:
+            # Also one that a newer has overtaken: its shares may be another's by now.
+            return
+        self.latest = grant.number
+        # Counted from the asking, by a clock that may run slow against the leader's.
+        self.until = max(self.until, asked + grant.length_ms / 1000 * (1 - 2 * DRIFT))
+        self.token_version, self.dear_excess = grant.token_version, grant.dear_excess
+        self.feed.acknowledged(grant.applied)
+        self._share(now, grant.shares)
+
+    def entries(self, now: float, sender: str, part: peer.Entries) -> None:
+        """Part of the leader's table."""
+        mine = sender == self.leader and part.epoch == self.epoch
+        if mine and part.incarnation == self.incarnation and self.inbox.takes(
+            part.before, part.upto
+        ):
+            self._learn(now, part.entries)
+
+    def _learn(self, now: float, entries: Iterable[Entry]) -> None:
+        for entry in entries:
+            if entry.gone:
+                self.directory.pop(entry.name, None)
+                self.hints.pop(entry.name, None)
+                self.table.entries.pop(entry.name, None)
+            else:
+                self.directory[entry.name] = entry
+            for owner in self.owners.values():
+                owner.learn(now, entry)
+
+    def _share(self, now: float, shares: Iterable[peer.Share]) -> None:
+        self.shares = {share.pool: share for share in shares}
+        for number, owner in list(self.owners.items()):
+            share = self.shares.get(number)
+            if share is None or share.member != self.member or share.serial != owner.serial:
+                owner.over = True
+                del self.owners[number]
+        for number, share in self.shares.items():
+            if share.member != self.member:
+                continue
+            owned = self.owners.get(number)
+            if owned is None:
+                owned = self.owners[number] = self.make(share)
+                for entry in self.directory.values():
+                    owned.learn(now, entry)
+            owned.revision = share.revision
+
+    def owner_of(self, machine: str) -> str | None:
+        """The member that commands a machine, as far as this one knows."""
+        entry = self.directory.get(machine)
+        share = self.shares.get(entry.pool) if entry is not None else None
+        return share.member if share is not None else None
--- a/src/copperpass/core/jobs.py
+++ b/src/copperpass/core/jobs.py
@@ -95,6 +95,16 @@
             mask[index >> 3] |= 1 << (index & 7)
         return mask
 
+    def forget_tasks(self) -> None:
+        """Start anew from what is stored: a new owner knows nothing of the tasks."""
+        self.placed.clear()
+        self.finished.clear()
+        self.results.clear()
+        self.again.clear()
+        self.failed_on.clear()
+        self.next_index = self.failures = 0
+        self.storing, self.hold_until = False, 0.0
+
     def waiting(self) -> int:
         """How many tasks are neither placed nor done."""
         return self.spec.tasks - self.done_count - len(self.placed) - len(self.finished)
--- /dev/null
+++ b/src/copperpass/core/landlord.py
@@ -0,0 +1,773 @@
+"""The leader's work: who owns which teams and machines, what is rented and what goes back."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+from copperpass import peer, wire
+from copperpass.core import allocation, dispatch, rental
+from copperpass.core.authority import DRIFT, TOKEN, Authority
+from copperpass.core.directory import (
+    ANYBODY,
+    EMPTY,
+    MOST_HANDOVERS,
+    OWN_POOL,
+    UNPOOLED,
+    Entry,
+    Feed,
+    Inbox,
+    Status,
+    Table,
+    base_token,
+)
+from copperpass.core.jobs import Job, JobTable
+from copperpass.core.ledger import Budget, Ledger
+from copperpass.core.ports import NO_ANSWER, Call, Outbox, Outcome
+from copperpass.core.roster import Roster
+from copperpass.settings import Cluster
+from copperpass.tuning import Tuning
+
+Place = rental.Place
+# The length of a grant, as a part of the leader key's life.
+GRANT_PER_TTL = 0.6
+UNKNOWN_REVISION = (1 << 62) - 1
+
+
+@dataclass(slots=True)
+class Held:
+    """A rented machine, as the leader sees it."""
+
+    entry: Entry
+    type: wire.MachineType
+    rented_at: float
+    status: Status
+    up_at: float = 0.0
+    idle_since: float = 0.0
+    used_cpus: float = 0.0
+    listed: bool = False
+    releasing: bool = False
+    release_sent: float = float("-inf")
+    # The pool that it is asked back for; None: to be returned.
+    back_for: int | None = None
+    back_until: float = 0.0
+
+    @property
+    def spare(self) -> bool:
+        """Whether it could be used elsewhere or returned now."""
+        return (
+            self.status.idle and self.status.settled and not self.releasing
+            and not self.status.release and not self.entry.failed
+        )
+
+
+@dataclass(slots=True)
+class Pool:
+    """Teams that share an owner and its machines."""
+
+    number: int
+    teams: list[str]
+    owner: str = ""
+    serial: int = 0
+    revision: int = UNKNOWN_REVISION
+    # How far the table had come when the pool was given.
+    at: int = 0
+    reading: bool = False
+    free_at: float = 0.0
+    wants: list[tuple[Job, int, float]] = field(default_factory=list)
+    wants_at: float = float("-inf")
+
+
+@dataclass(slots=True)
+class Tenant:
+    """A member that may own pools."""
+
+    incarnation: int = 0
+    heard: float = float("-inf")
+    granted_until: float = float("-inf")
+    feed: Feed[Entry] | None = None
+    inbox: Inbox = field(default_factory=Inbox)
+
+
+class Landlord:
+    """Acts under one authority; a new one is made for each win that isn't a continuation."""
+
+    def __init__(
+        self,
+        cluster: Cluster,
+        out: Outbox,
+        ledger: Ledger,
+        jobs: JobTable,
+        types: dict[str, wire.MachineType],
+        authority: Authority,
+        fleet: tuple[wire.FleetRecord | None, int],
+        pools: dict[str, int],
+        hints: dict[str, Entry],
+        owners: dict[int, str],
+        incarnation: int,
+        now: float,
+        tuning: Tuning,
+    ) -> None:
+        self.cluster, self.out, self.ledger, self.jobs = cluster, out, ledger, jobs
+        self.types, self.authority, self.tuning = types, authority, tuning
+        self.member = authority.member
+        self.epoch = authority.token
+        self.pool_of = pools
+        # What the term before knew: whose each machine was, and who owned which pool.
+        self.hints, self.owners = hints, owners
+        self.won_at = now
+        self.grant_s = GRANT_PER_TTL * authority.ttl
+        self.report_s = cluster.workers.report_s
+        self.lease_s = cluster.workers.lease_s * (1 + 4 * DRIFT) + 0.05 * self.report_s
+        self.table: Table[Entry] = Table()
+        self.machines: dict[str, Held] = {}
+        self.gone: dict[str, float] = {}
+        self.handover = 0
+        # The table's number when a machine was last added to each pool.
+        self.added: dict[int, int] = {}
+        self.tenants: dict[str, Tenant] = {}
+        self.tenants[self.member] = Tenant(incarnation, now, float("inf"))
+        self.pools: dict[int, Pool] = {}
+        for team, number in pools.items():
+            self.pools.setdefault(number, Pool(number, [])).teams.append(team)
+        self.serial = 0
+        room = cluster.state.value_kb * 1024
+        self.roster = Roster(
+            ledger, self.token_version, room, 4 / cluster.state.write_rps,
+            cluster.workers.lease_s)
+        self.roster.load(*fleet)
+        self.roster.on_stored = self._marked_up
+        self.aims = dispatch.Aims(cluster.objectives, tuning.patience_s)
+        self.scarce = dispatch.Scarce(types, tuning.keep_scarce_s)
+        self.refusals = rental.Refusals()
+        self.boot_s = max((t.boot_s for t in types.values()), default=20.0)
+        self.peak = rental.Peak(tuning.warm_window_boots * self.boot_s)
+        self.cheap_peak = rental.Peak(tuning.cheap_window_boots * self.boot_s)
+        self.calls = Budget(0.9 * cluster.cloud.rps, max(1.8 * cluster.cloud.rps, 2.0))
+        self.dear_excess = True
+        self.allocations: allocation.Allocation | None = None
+        self.booking = 0
+        self.renting: dict[str, tuple[Place, int, int]] = {}
+        self.ready = False
+        self.next_list = self.next_plan = self.next_summary = now
+        self.listing = False
+
+    def token_version(self) -> int:
+        """The version of the token counter that guards this term's writes."""
+        return self.authority.win_revision
+
+    # -- start of a term ---------------------------------------------------------------
+
+    def begin(self, now: float) -> None:
+        """The view has caught up with the win: know the machines that may hold tasks."""
+        self.ready = True
+        for name, place in self.roster.places.items():
+            if place[0] in self.types and name not in self.gone:
+                hint = self.hints.get(name)
+                pool = hint.pool if hint is not None and not hint.gone else UNPOOLED
+                self._add(now, name, place, pool, ANYBODY)
+        for request, (place, count) in list(self.roster.booked.items()):
+            # It may have been carried out: asked again, it names what it brought.
+            pool = self._neediest()
+            self.renting[request] = (place, count, pool)
+            self._book(now, place, count, request, 3)
+
+    def saw_fleet(self, record: wire.FleetRecord | None, version: int) -> None:
+        """The watch brings the fleet's record; until we begin, it may be a late write."""
+        if not self.ready:
+            self.roster.load(record, version)
+        else:
+            self.roster.saw(version)
+
+    def _marked_up(self, now: float, names: set[str]) -> None:
+        for name in names:
+            held = self.machines.get(name)
+            if held is not None:
+                self._set(held, recorded=True)
+
+    def _set(self, held: Held, **changes: object) -> None:
+        held.entry = replace(held.entry, **changes)  # type: ignore[arg-type]
+        self.table.put(held.entry)
+
+    def _next_base(self) -> int:
+        self.handover += 1
+        return base_token(self.epoch, self.handover)
+
+    def _add(self, now: float, name: str, place: Place, pool: int, may_hold: int) -> Held:
+        recorded = name in self.roster.stored
+        base = self._next_base()
+        entry = Entry(name, place[0], place[1], place[2], pool, base,
+                      may_hold if recorded else EMPTY, recorded)
+        held = Held(entry, self.types[place[0]], now, Status(name, base))
+        self.machines[name] = held
+        self.table.put(entry)
+        self.added[pool] = self.table.seq
+        return held
+
+    # -- grants ------------------------------------------------------------------------
+
+    def pulled(self, now: float, sender: str, pull: peer.Pull) -> peer.Grant | None:
+        """A member asks to have its grants extended."""
+        if pull.epoch != self.epoch or not self.authority.entitled(now):
+            return None
+        tenant = self.tenants.setdefault(sender, Tenant())
+        if tenant.incarnation != pull.incarnation or tenant.feed is None:
+            # It has just started, or has just come under this term: it holds nothing.
+            if tenant.incarnation not in (0, pull.incarnation):
+                # Its old grants are waited out all the same: a pull held back on an old connection
+                # looks just like a restart.
+                for pool in self.pools.values():
+                    if pool.owner == sender:
+                        self._disown(now, pool, tenant.granted_until)
+            tenant.incarnation = pull.incarnation
+            tenant.feed, tenant.inbox = Feed(self.table), Inbox()
+        tenant.heard = now
+        tenant.feed.acknowledged(pull.applied)
+        self._share_out(now)
+        # A grant never outlasts the authority behind it.
+        length = max(0.0, min(self.grant_s, self.authority.remaining(now) * (1 - 2 * DRIFT)))
+        # Recorded whether or not it owns a pool: a later grant may add one to the same time.
+        tenant.granted_until = max(tenant.granted_until, now + length * (1 + 4 * DRIFT))
+        return peer.Grant(
+            self.epoch, pull.incarnation, pull.number, int(length * 1000), self.token_version(),
+            self.dear_excess, tenant.inbox.applied, self.shares())
+
+    def shares(self) -> tuple[peer.Share, ...]:
+        """Who owns what."""
+        return tuple(
+            peer.Share(p.number, p.owner, p.serial, p.revision, p.at)
+            for p in self.pools.values() if p.owner
+        )
+
+    def _disown(self, now: float, pool: Pool, free_at: float) -> None:
+        """A pool has lost its owner: every machine of it needs a higher token."""
+        self.out.log("info", "pool without owner", pool=pool.number, member=pool.owner)
+        pool.owner, pool.revision, pool.free_at = "", UNKNOWN_REVISION, free_at
+        pool.wants, pool.reading = [], False
+        for held in list(self.machines.values()):
+            if held.entry.pool == pool.number:
+                may_hold = held.entry.may_hold
+                if held.entry.recorded and may_hold == EMPTY:
+                    may_hold = OWN_POOL
+                self._rebase(now, held, pool.number, may_hold)
+
+    def _rebase(self, now: float, held: Held, pool: int, may_hold: int,
+                status: Status | None = None) -> None:
+        """Change who commands a machine, under a higher token."""
+        base = self._next_base()
+        held.back_for, held.back_until = None, 0.0
+        contact = status.contact if status is not None and may_hold == EMPTY else None
+        held.status = Status(held.entry.name, base, up=held.status.up)
+        self._set(held, pool=pool, base=base, may_hold=may_hold, back=False, vacate=False,
+                  contact=contact)
+        self.added[pool] = self.table.seq
+
+    def _live(self, now: float) -> list[str]:
+        return [name for name, t in self.tenants.items()
+                if name == self.member or now - t.heard < 0.75 * self.grant_s]
+
+    def _share_out(self, now: float) -> None:
+        """Give pools without an owner to live members, those with the fewest first."""
+        expected = 1 + len(self.authority.others)
+        live = self._live(now)
+        early = now - self.won_at < 0.5 * self.grant_s
+        if len(self.pools) > 1 and len(live) < expected and early:
+            return
+        for pool in self.pools.values():
+            if pool.owner or now < pool.free_at or not self.ready:
+                continue
+            if len(self.pools) == 1:
+                chosen = self.member
+            else:
+                loads = {n: sum(p.owner == n for p in self.pools.values()) for n in live}
+                before = self.owners.get(pool.number)
+                chosen = min(live, key=lambda n: (
+                    loads[n], n == self.member, n != before, n))
+            self.serial += 1
+            # Kept for it until it has had time to ask.
+            tenant = self.tenants[chosen]
+            tenant.granted_until = max(tenant.granted_until, now + self.grant_s)
+            pool.owner, pool.serial, pool.at = chosen, self.serial, self.table.seq
+            if pool.free_at <= self.won_at:
+                pool.revision = self.token_version()
+            else:
+                self._read_revision(now, pool)
+            self.out.log("info", "pool given", pool=pool.number, member=chosen, serial=pool.serial)
+
+    def _read_revision(self, now: float, pool: Pool) -> None:
+        """Learn a revision that is certainly after all that the last owner can have seen."""
+        if pool.reading:
+            return
+        pool.reading, serial = True, pool.serial
+
+        def then(n: float, outcome: Outcome) -> None:
+            applied = wire.decode(outcome.body, wire.Applied) if outcome.status == 200 else None
+            if pool.serial == serial:
+                pool.reading = False
+                if applied is not None:
+                    pool.revision = applied.revision
+
+        self.out.calls.append(Call(
+            "state", "POST", wire.PATH_TXN, then,
+            wire.transaction({TOKEN: self.token_version()}, []), self.authority.ttl / 3))
+
+    # -- what owners tell -----------------------------------------------------------------
+
+    def told(self, now: float, sender: str, statuses: Iterable[Status]) -> None:
+        """An owner's table has news."""
+        for status in statuses:
+            held = self.machines.get(status.name)
+            if held is None or status.base != held.entry.base:
+                continue
+            if self._owner_of(held) != sender:
+                continue
+            self._take(now, held, status)
+
+    def _owner_of(self, held: Held) -> str:
+        pool = self.pools.get(held.entry.pool)
+        return pool.owner if pool is not None else ""
+
+    def _take(self, now: float, held: Held, status: Status) -> None:
+        if status.up and not held.status.up:
+            held.up_at = held.idle_since = now
+            self.roster.came_up(now, held.entry.name, self._place(held))
+        if status.idle and not held.status.idle:
+            held.idle_since = now
+        before, held.status = held.status, status
+        held.used_cpus = status.used_cpus
+        if status.settled and not before.settled and held.entry.may_hold != EMPTY:
+            self._set(held, may_hold=EMPTY)
+        if status.given:
+            self._given(now, held, status)
+            return
+        if held.entry.back and not held.entry.vacate and (
+            not status.idle or now > held.back_until
+        ):
+            held.back_for = None
+            self._set(held, back=False)
+        if status.release and not held.releasing:
+            self._release(now, [held])
+
+    def _given(self, now: float, held: Held, status: Status) -> None:
+        """An owner has given a machine back: nobody commands it now."""
+        if status.pool != UNPOOLED:
+            # It holds tasks of another pool.
+            self._rebase(now, held, status.pool, held.entry.may_hold or OWN_POOL)
+        elif held.back_for is not None:
+            self._rebase(now, held, held.back_for, EMPTY, status)
+        else:
+            self._rebase(now, held, UNPOOLED, EMPTY, status)
+            self._release(now, [held])
+
+    def _ask_back(self, now: float, held: Held, pool: int | None, vacate: bool = False) -> None:
+        if held.entry.pool == UNPOOLED:
+            return
+        held.back_for, held.back_until = pool, now + self.report_s
+        self._set(held, back=True, vacate=vacate)
+
+    def asked(self, now: float, wants: peer.Wants) -> None:
+        """An owner has tasks that its machines have no room for in time."""
+        pool = self.pools.get(wants.pool)
+        if pool is None or wants.applied < self.added.get(pool.number, 0):
+            return
+        jobs = self.jobs.jobs
+        pool.wants = [(jobs[j], n, left) for j, n, left in wants.wants if j in jobs]
+        pool.wants_at = now
+
+    # -- machines that nobody owns ----------------------------------------------------------
+
+    def unowned(self, now: float, report: wire.Report) -> None:
+        """A machine reports that is in nobody's pool: find out whose it is."""
+        held = self.machines.get(report.machine)
+        if held is None:
+            if report.machine in self.gone or report.type not in self.types:
+                return
+            # Unexpected: rented by a request that was carried out late, or a late copy about a
+            # machine that is gone. Whoever owns it will see whether answers reach it.
+            place = (report.type, report.zone, report.spot)
+            held = self._add(now, report.machine, place, UNPOOLED, EMPTY)
+        if held.entry.pool != UNPOOLED or held.releasing:
+            return
+        counts: dict[int, int] = {}
+        for task in report.tasks:
+            job = self.jobs.jobs.get(task.task.rpartition("/")[0])
+            if job is not None and job.spec.team in self.pool_of:
+                number = self.pool_of[job.spec.team]
+                counts[number] = counts.get(number, 0) + 1
+        pool = max(counts, key=lambda n: counts[n]) if counts else self._neediest()
+        self._rebase(now, held, pool, held.entry.may_hold)
+
+    def _neediest(self) -> int:
+        """The pool whose tasks have the least room for their number."""
+        def pressure(pool: Pool) -> tuple[float, int]:
+            want = sum(n * job.spec.cpus for job, n, _ in pool.wants)
+            return (-want, pool.number)
+
+        return min(self.pools.values(), key=pressure).number
+
+    # -- time --------------------------------------------------------------------------------
+
+    def tick(self, now: float) -> None:
+        """Everything that the passing of time asks for."""
+        if not self.ready or not self.authority.entitled(now):
+            return
+        if self.handover >= MOST_HANDOVERS - len(self.machines) - 1000:
+            # Only a new term has tokens for more handovers.
+            self.authority.step_down(now, "handovers used up")
+            return
+        for pool in self.pools.values():
+            tenant = self.tenants.get(pool.owner)
+            if pool.owner and pool.owner != self.member and (
+                tenant is None or now > tenant.granted_until
+            ):
+                self._disown(now, pool, now)
+            if pool.owner and pool.revision == UNKNOWN_REVISION:
+                self._read_revision(now, pool)
+        self._share_out(now)
+        self.roster.tick(now)
+        if now >= self.next_list and not self.listing:
+            self._list(now)
+        if now >= self.next_plan and self.types:
+            self.next_plan = now + max(self.report_s / 4, 2.0 / self.cluster.cloud.rps)
+            self._plan(now)
+            self._sweep(now)
+
+    def _sweep(self, now: float) -> None:
+        for held in list(self.machines.values()):
+            slow = 5 * held.type.boot_s
+            never = not held.status.up and now - held.rented_at > slow
+            again = held.releasing and now - held.release_sent > 2.0
+            if again or (never and not held.releasing):
+                self._release(now, [held])
+            unclaimed = held.entry.may_hold != EMPTY and held.entry.pool == UNPOOLED
+            if unclaimed and now - self.won_at > self.lease_s:
+                # Nobody has answered it in this term, so its session is over; it is gone.
+                self._set(held, may_hold=EMPTY)
+                self._release(now, [held])
+        keep = 20 * self.cluster.cloud.list_lag_s + 4 * self.lease_s
+        for name in [n for n, at in self.gone.items() if now - at > keep]:
+            del self.gone[name]
+
+    # -- rental ------------------------------------------------------------------------------
+
+    def _place(self, held: Held) -> Place:
+        return (held.entry.type, held.entry.zone, held.entry.spot)
+
+    def _serving(self) -> list[Held]:
+        return [h for h in self.machines.values()
+                if not h.releasing and not h.status.release and not h.entry.failed]
+
+    def _demand(self, now: float) -> tuple[float, dict[int, float]]:
+        """CPUs of work that can't wait for a boot, in all and by pool."""
+        tight: dict[int, float] = dict.fromkeys(self.pools, 0.0)
+        jobs = list(self.jobs.jobs.values())
+        dispatch.judge_guarantees(jobs, {t.name: t.cpus for t in self.cluster.teams})
+        self.scarce.note(now, jobs)
+        guarantee = self.aims.guarantee
+        for job in jobs:
+            wait = self.aims.tightest_wait(job.spec.job_class)
+            within = wait is not None and wait < self.boot_s
+            if guarantee is not None and guarantee < self.boot_s:
+                within = within or job.guaranteed
+            if within and job.spec.team in self.pool_of:
+                left = job.spec.tasks - job.done_count - len(job.finished)
+                tight[self.pool_of[job.spec.team]] += left * job.spec.cpus
+        return sum(tight.values()), tight
+
+    def _plan(self, now: float) -> None:
+        """Compute shares, move what idles to where it is needed, rent the rest, return."""
+        total, tight = self._demand(now)
+        limit = sum(t.cpus_max for t in self.cluster.teams)
+        self.peak.add(now, min(total, limit))
+        self.cheap_peak.add(now, min(total, limit))
+        warm = rental.Warm(self.peak.value(), self.cheap_peak.value())
+        serving = self._serving()
+        room = sum(h.type.cpus for h in serving)
+        self.dear_excess = room > warm.any
+        self.allocations = self._allocate(serving)
+        order = sorted(self.pools.values(), key=lambda p: self._fullness(p, serving))
+        if not any(h.entry.may_hold == ANYBODY for h in serving):
+            wanted: dict[tuple[Place, int], int] = {}
+            zones: dict[str, int] = {}
+            for held in serving:
+                zones[held.entry.zone] = zones.get(held.entry.zone, 0) + 1
+            for pool in order:
+                self._serve_wants(now, pool, serving, wanted, zones)
+            self._keep_warm(now, warm, tight, room, wanted, zones)
+            for (place, number), count in wanted.items():
+                if not any(p == place for p, _, _ in self.renting.values()):
+                    self._rent(now, place, min(count, 50), number)
+        if now >= self.next_summary:
+            self.next_summary = now + 5 * self.report_s
+            self._summary(warm.any, total)
+        self._return_idle(now, warm)
+
+    def _allocate(self, serving: list[Held]) -> allocation.Allocation:
+        """Bottleneck-aware allocation of all machines among the teams that ask."""
+        gpus_matter = any(t.gpus > 0 or t.gpus_max > 0 for t in self.cluster.teams)
+        sums: dict[str, list[float]] = {}
+        for job in self.jobs.jobs.values():
+            left = job.spec.tasks - job.done_count
+            second = job.spec.gpus if gpus_matter else job.spec.memory_gb
+            mix = sums.setdefault(job.spec.team, [0.0, 0.0, 0.0])
+            mix[0] += left
+            mix[1] += left * job.spec.cpus
+            mix[2] += left * second
+        claims = []
+        for team in self.cluster.teams:
+            tasks, cpus, other = sums.get(team.name, (0.0, 0.0, 0.0))
+            if tasks <= 0:
+                continue
+            cap = min(tasks, team.cpus_max * tasks / cpus) if cpus > 0 else tasks
+            weight = team.gpus if gpus_matter and team.gpus > 0 else team.cpus
+            claims.append(allocation.Claim(
+                team.name, (cpus / tasks, other / tasks), max(weight, 1e-3), cap))
+        return allocation.allocate(claims, (
+            sum(h.type.cpus for h in serving),
+            sum(h.type.gpus if gpus_matter else h.type.memory_gb for h in serving)))
+
+    def _fullness(self, pool: Pool, serving: list[Held]) -> float:
+        """A pool's machines as a part of its allocation: the furthest below comes first."""
+        have = sum(h.type.cpus for h in serving if h.entry.pool == pool.number)
+        target = 0.0
+        for job in self.jobs.jobs.values():
+            if job.spec.team in pool.teams:
+                target += (job.spec.tasks - job.done_count) * job.spec.cpus
+        given = self.allocations.tasks if self.allocations else {}
+        share = sum(given.get(t, 0.0) for t in pool.teams)
+        left = sum(j.spec.tasks - j.done_count for j in self.jobs.jobs.values()
+                   if j.spec.team in pool.teams)
+        target = target * share / left if left > 0 else 0.0
+        return have / target if target > 0 else float("inf")
+
+    def _serve_wants(
+        self, now: float, pool: Pool, serving: list[Held],
+        wanted: dict[tuple[Place, int], int], zones: dict[str, int],
+    ) -> None:
+        """Find room for what a pool's owner has none for: idle machines first, then new ones."""
+        if now - pool.wants_at > 2 * self.report_s:
+            return
+        rooms = [
+            rental.new_room(self.types[place[0]], place)
+            for place, count, number in self.renting.values() if number == pool.number
+            for _ in range(count)
+        ]
+        coming = [h for h in serving if h.back_for == pool.number and h.entry.back]
+        rooms += [rental.new_room(h.type, self._place(h)) for h in coming]
+        spare = [h for h in serving if h.spare and h.entry.pool != pool.number
+                 and not h.entry.back and h.entry.pool != UNPOOLED]
+        spare.sort(key=lambda h: dispatch.price_of(h.type, h.entry.spot) / h.type.cpus)
+        for job, count, horizon in pool.wants:
+            spec = job.spec
+            closed = self.scarce.closed_to(spec)
+            left = rental.fill(rooms, spec, count, horizon, closed)
+            # Work that can wait for longer than a boot asks only for the cheap kind at first.
+            patient = horizon > self.tuning.patient_boots * self.boot_s and spec.spot
+            for held in list(spare):
+                if left <= 0:
+                    break
+                if held.type.name in closed or (
+                    patient and self.dear_excess and not held.entry.spot
+                ):
+                    continue
+                room = rental.new_room(held.type, self._place(held))
+                taken = room.take(spec, left, horizon)
+                if taken > 0:
+                    left -= taken
+                    rooms.append(room)
+                    spare.remove(held)
+                    self._ask_back(now, held, pool.number)
+            while left > 0 and sum(wanted.values()) < 50 and not self.roster.full():
+                place = rental.choose_place(
+                    spec, left, self.types, zones, self.refusals, now, patient, closed)
+                if place is None:
+                    break
+                room = rental.new_room(self.types[place[0]], place)
+                taken = room.take(spec, left, horizon)
+                if taken <= 0:
+                    break
+                left -= taken
+                rooms.append(room)
+                zones[place[1]] = zones.get(place[1], 0) + 1
+                wanted[(place, pool.number)] = wanted.get((place, pool.number), 0) + 1
+            if left > 0 and job.guaranteed and horizon <= self.boot_s:
+                self._reclaim(now, pool, job, left, serving)
+
+    def _reclaim(
+        self, now: float, pool: Pool, job: Job, count: int, serving: list[Held]
+    ) -> None:
+        """Give a pool its guarantee out of what another has beyond its own."""
+        spec = job.spec
+        for other in self.pools.values():
+            theirs = [h for h in serving if h.entry.pool == other.number]
+            own = sum(t.cpus for t in self.cluster.teams if t.name in other.teams)
+            spare = sum(h.used_cpus for h in theirs) - own
+            for held in sorted(theirs, key=lambda h: h.used_cpus):
+                if other is pool or count <= 0 or spare < held.used_cpus or held.entry.back:
+                    break
+                room = rental.new_room(held.type, self._place(held))
+                taken = room.take(spec, count, 0.0)
+                if taken > 0 and held.type.name not in self.scarce.closed_to(spec):
+                    count -= taken
+                    spare -= held.used_cpus
+                    self._ask_back(now, held, pool.number, vacate=True)
+
+    def _keep_warm(
+        self, now: float, warm: rental.Warm, tight: dict[int, float], room: float,
+        wanted: dict[tuple[Place, int], int], zones: dict[str, int],
+    ) -> None:
+        total = room + sum(self.types[p[0]].cpus * n for p, n, _ in self.renting.values())
+        total += sum(self.types[place[0]].cpus * n for (place, _), n in wanted.items())
+        dear = {name for names in self.scarce.seen for name in names}
+        number = max(tight, key=lambda n: tight[n])
+        for cpus, spot_only in ((warm.any, False), (warm.cheap, True)):
+            while total < cpus and sum(wanted.values()) < 50 and not self.roster.full():
+                place = rental.choose_place(
+                    None, 1, self.types, zones, self.refusals, now, spot_only, dear)
+                if place is None:
+                    break
+                total += self.types[place[0]].cpus
+                zones[place[1]] = zones.get(place[1], 0) + 1
+                wanted[(place, number)] = wanted.get((place, number), 0) + 1
+
+    def _return_idle(self, now: float, warm: rental.Warm) -> None:
+        """Ask back the dearest idle machines beyond the warm room."""
+        serving = self._serving()
+        total = sum(h.type.cpus for h in serving)
+        idle_s = self.tuning.idle_boots * self.boot_s
+        idle = [h for h in serving if h.spare and not h.entry.back
+                and now - max(h.idle_since, h.up_at) >= idle_s]
+        idle.sort(key=lambda h: -dispatch.price_of(h.type, h.entry.spot) / h.type.cpus)
+        for held in idle:
+            if total - held.type.cpus >= (warm.cheap if held.entry.spot else warm.any):
+                total -= held.type.cpus
+                self._ask_back(now, held, None)
+
+    def _summary(self, warm: float, tight: float) -> None:
+        """Say for the log how the fleet stands."""
+        kinds: dict[str, list[float]] = {}
+        for h in self.machines.values():
+            kind = "spot" if h.entry.spot else "ordinary"
+            state = "up" if h.status.up else "starting"
+            key = f"{h.entry.pool} {h.type.name} {kind} {state}"
+            sums = kinds.setdefault(key, [0, 0.0, 0])
+            sums[0] += 1
+            sums[1] += h.type.cpus
+            sums[2] += h.status.idle
+        factors = self.allocations.factors if self.allocations else (0.0, 0.0)
+        self.out.log(
+            "info", "fleet", warm=round(warm), tight=round(tight),
+            machines={k: [round(x) for x in v] for k, v in sorted(kinds.items())},
+            owners={p.number: p.owner for p in self.pools.values()},
+            factors=[round(f, 3) for f in factors])
+
+    def _rent(self, now: float, place: Place, count: int, pool: int) -> None:
+        self.booking += 1
+        # The token is this authority's alone, so the name is never used again by any node.
+        request = f"b-{self.epoch}-{self.booking}"
+        self.renting[request] = (place, count, pool)
+
+        def stored(n: float, ok: bool) -> None:
+            if ok and self.authority.entitled(n):
+                self._book(n, place, count, request, 3)
+            else:
+                self.renting.pop(request, None)
+                self.roster.ended(n, request, [])
+
+        self.roster.book(now, request, place, count, stored)
+
+    def _book(self, now: float, place: Place, count: int, request: str, tries: int) -> None:
+        def then(n: float, outcome: Outcome) -> None:
+            if outcome.status == 200:
+                _, _, pool = self.renting.pop(request, (place, count, self._neediest()))
+                rented = wire.decode(outcome.body, wire.Rented)
+                names = rented.machines if rented else []
+                if len(names) < count:
+                    self.refusals.refused(place, n, self.boot_s / 2)
+                else:
+                    self.refusals.granted(place)
+                self.out.log("info", "rented", place=str(place), count=len(names), pool=pool)
+                self.roster.ended(n, request, names)
+                for name in names:
+                    if name not in self.machines and name not in self.gone:
+                        self._add(n, name, place, pool, EMPTY)
+                return
+            if outcome.status in (NO_ANSWER, 429) and tries > 1 and self.authority.entitled(n):
+                self._book(n, place, count, request, tries - 1)
+                return
+            self.renting.pop(request, None)
+            self.refusals.refused(place, n, self.boot_s / 2)
+            if outcome.status != NO_ANSWER:
+                self.roster.ended(n, request, [])
+
+        body = wire.rental(request, place[0], place[1], place[2], count)
+        self.out.calls.append(Call("cloud", "POST", wire.PATH_RENTALS, then, body, 3.0))
+
+    def _release(self, now: float, machines: list[Held]) -> None:
+        if not self.authority.entitled(now):
+            return
+        for held in machines:
+            held.releasing = True
+        waiting = [h for h in self.machines.values()
+                   if h.releasing and now - h.release_sent > 2.0][:100]
+        if not waiting or not self.calls.take(now, 1.0):
+            return
+        for held in waiting:
+            held.release_sent = now
+
+        def then(n: float, outcome: Outcome) -> None:
+            if outcome.status == 200:
+                for held in waiting:
+                    self._gone(n, held)
+
+        names = [h.entry.name for h in waiting]
+        self.out.calls.append(
+            Call("cloud", "POST", wire.PATH_RELEASE, then, wire.release(names), 3.0)
+        )
+
+    def _gone(self, now: float, held: Held) -> None:
+        """The cloud has confirmed: the machine and all on it are gone."""
+        name = held.entry.name
+        if self.machines.get(name) is not held:
+            return
+        del self.machines[name]
+        self.gone[name] = now
+        self._set(held, gone=True, may_hold=EMPTY)
+        self.roster.gone(now, name)
+
+    def _list(self, now: float) -> None:
+        if not self.calls.take(now, 1.0):
+            return
+        self.listing = True
+        self.next_list = now + max(self.cluster.cloud.list_lag_s / 2, 4 / self.cluster.cloud.rps)
+        self._page(now, "")
+
+    def _page(self, now: float, after: str) -> None:
+        def then(n: float, outcome: Outcome) -> None:
+            page = wire.decode(outcome.body, wire.MachineList) if outcome.status == 200 else None
+            if page is None or not self.ready:
+                self.listing = False
+                return
+            self._listed(n, page.machines)
+            if page.more and page.machines:
+                self._page(n, page.machines[-1].id)
+                return
+            self.listing = False
+
+        self.out.calls.append(Call("cloud", "GET", wire.path_machines(after), then, b"", 3.0))
+
+    def _listed(self, now: float, machines: list[wire.ListedMachine]) -> None:
+        for item in machines:
+            if item.id in self.gone or item.type not in self.types:
+                continue
+            held = self.machines.get(item.id)
+            if held is None:
+                place = (item.type, item.zone, item.spot)
+                held = self._add(now, item.id, place, UNPOOLED, EMPTY)
+                held.rented_at = now - item.age_s
+                self.roster.rented(now, item.id, place)
+            held.listed = True
+            if item.state == "failed" and not held.entry.failed:
+                # It has stopped on its own: nothing runs there any more.
+                self._set(held, failed=True, may_hold=EMPTY)
+                self._release(now, [held])
--- a/src/copperpass/core/node.py
+++ b/src/copperpass/core/node.py
@@ -3,27 +3,38 @@
 from __future__ import annotations
 
 import random
-from collections import OrderedDict
 
 import msgspec
 
 from copperpass import peer, wire
 from copperpass.core.authority import LEAD, TOKEN, Authority, times_of
+from copperpass.core.holder import BATCH, Holder
 from copperpass.core.jobs import ENDS, LIVE, JobTable
+from copperpass.core.landlord import Landlord
 from copperpass.core.ledger import GATHERED, Ledger, Op
+from copperpass.core.owner import Owner
 from copperpass.core.ports import Call, Outbox, Outcome, Reply
-from copperpass.core.relay import KNOWN_GUESTS, Relay
+from copperpass.core.relay import Relay
 from copperpass.core.roster import FLEET
-from copperpass.core.steward import Steward
 from copperpass.core.users import UserDesk
 from copperpass.core.view import View
-from copperpass.settings import Settings
+from copperpass.settings import Cluster, Settings
 from copperpass.tuning import Tuning
 
-SHUN_PER_LEASE = 1.0
 TYPES = "c/types"
 
 
+def pools_of(cluster: Cluster, tuning: Tuning) -> dict[str, int]:
+    """The pool of each team: one each, or one for all where a controller can carry them.
+
+    Parting costs room, since a machine serves one pool at a time; it pays where the teams'
+    guarantees are more than one controller's processor should command.
+    """
+    guaranteed = sum(team.cpus for team in cluster.teams)
+    parted = guaranteed > tuning.part_cpus_per_core * cluster.resources.cores
+    return {team.name: n if parted else 0 for n, team in enumerate(cluster.teams)}
+
+
 class Node:
     """Takes inputs; leaves calls, replies and log lines in its outbox."""
 
@@ -49,18 +60,20 @@
             self.ledger, self.rng, self._authority_changed, now,
         )
         self.relay = Relay(self.out, cluster.workers.lease_s, cluster.workers.report_s)
-        self.heard: OrderedDict[str, tuple[int, int]] = OrderedDict()
         self.view = View(self.out, self._saw, self.ttl / 2, timeout)
+        self.now = now
         self.last_state = now
-        self.last_worker = float("-inf")
         self.peer_state: dict[str, float] = {}
-        self.peer_worker: dict[str, float] = {}
         self.peer_heard: dict[str, float] = {}
         self.alone_token = -1
-        self.peer_counts: dict[str, int] = {}
+        self.peer_counts: dict[str, dict[str, int]] = {}
         self.next_beat = now
         self.next_counts = now
-        self.steward: Steward | None = None
+        self.pools = pools_of(cluster, self.tuning)
+        self.holder = Holder(
+            settings.name, self.rng.getrandbits(62) + 1, self.ttl,
+            cluster.workers.report_s / 4, self.out, self._make_owner)
+        self.landlord: Landlord | None = None
         self.types: dict[str, wire.MachineType] = {}
         self.next_types = 0.0
         self.fetching_types = False
@@ -70,36 +83,56 @@
 
     def tick(self, now: float) -> None:
         """The passing of time; to be called many times a second."""
+        self.now = now
         self.view.tick(now)
         self.relay.tick(now)
         if self.view.listed:
             self.authority.known = True
         self.authority.tick(now)
         self.ledger.pump(now)
-        if self.steward is not None and not self.stored_types and self.types:
+        if self.landlord is not None and not self.stored_types and self.types:
             # Refetch at once so that the first leader stores the offer.
             self.next_types = min(self.next_types, now + self.ttl)
         if not self.fetching_types and now >= self.next_types:
             self._fetch_types(now)
-        steward = self.steward
-        if steward is not None:
-            if not steward.ready and self.view.revision >= self.authority.win_revision:
-                steward.begin(now)
-            steward.tick(now)
-            self._mind_isolation(now, steward)
+        self._mind_leader(now)
+        landlord = self.landlord
+        if landlord is not None:
+            if not landlord.ready and self.view.revision >= self.authority.win_revision and (
+                self.types
+            ):
+                landlord.begin(now)
+            landlord.tick(now)
+            self._feed_tenants(landlord)
+        self.holder.tick(now, self.view.revision)
+        if self.landlord is not None:
+            self._mind_isolation(now, self.landlord)
         if now >= self.next_beat:
             self._beat(now)
 
+    def _mind_leader(self, now: float) -> None:
+        """Follow whoever leads."""
+        lead = self.authority.lead
+        if self.landlord is None and lead is not None and lead.member != self.settings.name:
+            self.holder.follow(lead.member, lead.token)
+
+    def _feed_tenants(self, landlord: Landlord) -> None:
+        """Send the members what is new in the leader's table."""
+        for member, tenant in landlord.tenants.items():
+            feed = tenant.feed
+            while feed is not None and feed.sent < landlord.table.seq:
+                before, upto, entries = feed.next(BATCH)
+                self.out.send(member, peer.Entries(
+                    landlord.epoch, tenant.incarnation, before, upto, tuple(entries)))
+
     def received(self, now: float, sender: str, frame: peer.Frame) -> None:
         """A frame from another controller."""
         self.peer_heard[sender] = now
         if isinstance(frame, peer.Beat):
             if frame.state_age_ms != peer.NEVER:
                 self.peer_state[sender] = now - frame.state_age_ms / 1000
-            if frame.worker_age_ms != peer.NEVER:
-                self.peer_worker[sender] = now - frame.worker_age_ms / 1000
         elif isinstance(frame, peer.Counts):
-            self.peer_counts = frame.running
+            self.peer_counts[sender] = frame.running
         elif isinstance(frame, peer.Handed):
             report = wire.decode(frame.body, wire.Report)
             if report is not None:
@@ -107,6 +140,19 @@
                 self.out.send(sender, peer.Answered(frame.number, status, body))
         elif isinstance(frame, peer.Answered):
             self.relay.answered(frame)
+        elif isinstance(frame, peer.Pull):
+            grant = self.landlord.pulled(now, sender, frame) if self.landlord else None
+            if grant is not None:
+                self.out.send(sender, grant)
+        elif isinstance(frame, peer.Grant):
+            self.holder.granted(now, sender, frame)
+        elif isinstance(frame, peer.Entries):
+            self.holder.entries(now, sender, frame)
+        elif isinstance(frame, peer.Statuses):
+            self._told(now, sender, frame)
+        elif isinstance(frame, peer.Wants):
+            if self.landlord is not None and frame.epoch == self.landlord.epoch:
+                self.landlord.asked(now, frame)
         else:
             self.authority.received(now, sender, frame)
 
@@ -120,42 +166,58 @@
         if report is None:
             self.out.replies.append(Reply(request, 400, wire.error("malformed report")))
             return
-        leader = self.authority.leader_name()
-        if self._commands(now) or leader is None or leader == self.settings.name:
+        holder, name = self.holder, report.machine
+        owner = holder.owner_of(name)
+        if owner == self.settings.name:
             self.out.replies.append(Reply(request, *self._answer(now, report, False)))
             return
-        self._heard(now, report)
-        linked = now - self.peer_heard.get(leader, float("-inf")) < self.ttl
-        if linked and self.relay.hands_on(now, report.machine):
-            self.relay.hand_on(now, request, body, leader)
+        if owner is None:
+            owner = self._unowned(now, report)
+        linked = owner is not None and self._linked(now, owner)
+        if owner is not None and linked and self.relay.hands_on(now, name):
+            self.relay.hand_on(now, request, body, owner)
         else:
-            self.out.replies.append(Reply(request, 421, wire.referral(leader)))
+            self.out.replies.append(Reply(request, 421, wire.referral(owner)))
+
+    def _linked(self, now: float, member: str) -> bool:
+        return now - self.peer_heard.get(member, float("-inf")) < self.ttl
 
-    def _commands(self, now: float) -> bool:
-        return self.steward is not None and self.authority.entitled(now)
+    def _unowned(self, now: float, report: wire.Report) -> str | None:
+        """Where a machine should go that nobody is known to command."""
+        if self.landlord is not None:
+            if self.landlord.ready and self.authority.entitled(now):
+                self.landlord.unowned(now, report)
+            return None
+        leader = self.authority.leader_name()
+        return leader if leader != self.settings.name else None
 
     def _answer(self, now: float, report: wire.Report, handed: bool) -> tuple[int, bytes]:
         """What this node itself answers a report with."""
-        if self.steward is None or not self.authority.entitled(now):
+        entry = self.holder.directory.get(report.machine)
+        owner = self.holder.owners.get(entry.pool) if entry is not None else None
+        if owner is None or not self.holder.entitled(now):
+            if self.landlord is not None and entry is None and handed:
+                self._unowned(now, report)
             return 421, wire.referral(None)
-        answer = self.steward.report(now, report, handed)
+        answer = owner.report(now, report, handed)
         if answer is None:
             return 503, wire.error("not commanded here")
-        if self.steward.last_report == now:
-            self.last_worker = now
         return 200, wire.encode(answer)
 
-    def _heard(self, now: float, report: wire.Report) -> None:
-        """Note that a worker can be heard, unless it may be a late copy: only news counts."""
-        stamp = (report.session, report.seq)
-        before = self.heard.get(report.machine)
-        if before is not None and stamp > before:
-            self.last_worker = now
-        if before is None or stamp > before:
-            self.heard[report.machine] = stamp
-            self.heard.move_to_end(report.machine)
-            if len(self.heard) > KNOWN_GUESTS:
-                self.heard.popitem(last=False)
+    def _told(self, now: float, sender: str, frame: peer.Statuses) -> None:
+        landlord = self.landlord
+        if landlord is None or frame.epoch != landlord.epoch:
+            return
+        tenant = landlord.tenants.get(sender)
+        if tenant is None or tenant.incarnation != frame.incarnation:
+            return
+        if tenant.inbox.takes(frame.before, frame.upto):
+            landlord.told(now, sender, frame.statuses)
+
+    @property
+    def owners(self) -> list[Owner]:
+        """The pools that this node owns."""
+        return list(self.holder.owners.values())
 
     def healthy(self, now: float) -> bool:
         """Whether this node can take requests now."""
@@ -173,10 +235,12 @@
     def counts_of(self, job_id: str) -> tuple[int, int]:
         """How many tasks of a job are done and run, as far as this node knows; for display."""
         job = self.jobs.jobs.get(job_id)
-        done = job.done_count if job else 0
-        if self.steward is None:
-            return done, self.peer_counts.get(job_id, 0)
-        return done, len(job.placed) if job else 0
+        if job is None:
+            return 0, 0
+        if self.pools.get(job.spec.team, 0) in self.holder.owners:
+            return job.done_count, len(job.placed)
+        told = (counts.get(job_id, 0) for counts in self.peer_counts.values())
+        return job.done_count, max(told, default=0)
 
     # -- what happens inside -------------------------------------------------------------
 
@@ -192,61 +256,57 @@
                 self._use_types(offer)
         elif key.startswith(LIVE):
             job, over = self.jobs.saw(now, key, raw, version)
-            if self.steward is not None:
+            for owner in self.owners:
                 if over and job is not None:
-                    self.steward.job_over(now, job)
-                self.steward.dirty = True
+                    owner.job_over(now, job)
+                owner.dirty = True
         elif key.startswith(ENDS):
             self.jobs.saw_ends(key, raw)
             self.versions[key] = version if raw is not None else 0
         elif key == FLEET:
             self.fleet = (wire.decode(raw, wire.FleetRecord) if raw is not None else None, version)
-            if self.steward is not None:
-                self.steward.saw_fleet(*self.fleet)
+            if self.landlord is not None:
+                self.landlord.saw_fleet(*self.fleet)
 
     def _authority_changed(self, now: float, leading: bool, continued: bool) -> None:
-        if leading and continued and self.steward is not None:
-            # Nobody else can have commanded in between: only the token rises.
-            self.steward.raise_token(self.authority.token, self.authority.win_revision)
+        if leading and continued and self.landlord is not None:
+            # Nobody else can have commanded in between: the term goes on under a higher counter.
             return
-        for job in self.jobs.jobs.values():
-            job.placed.clear()
-            job.finished.clear()
-            job.results.clear()
-            job.again.clear()
-            job.next_index = 0
-            job.storing = False
-            job.failed_on.clear()
-            job.failures = 0
-            job.hold_until = 0.0
         if not leading:
-            self.steward = None
+            self.landlord = None
+            self.holder.leave()
             return
-        authority = self.authority
-        self.steward = Steward(
-            self.cluster, self.out, self.ledger, self.jobs, self.types, self.fleet,
-            self.versions, authority.token, authority.win_revision, authority.entitled, now,
-            self.tuning,
-        )
+        holder = self.holder
+        hints = {**holder.hints, **holder.directory}
+        owned = {**holder.owned_before, **{n: s.member for n, s in holder.shares.items()}}
+        self.landlord = Landlord(
+            self.cluster, self.out, self.ledger, self.jobs, self.types, self.authority, self.fleet,
+            self.pools, hints, owned, holder.incarnation, now, self.tuning)
+        holder.lead(self.landlord)
+
+    def _make_owner(self, share: peer.Share) -> Owner:
+        holder = self.holder
+        return Owner(
+            self.cluster, self.out, self.ledger, self.jobs, self.types, self.versions,
+            pool=share.pool, pools=self.pools, epoch=holder.epoch, serial=share.serial,
+            revision=share.revision, token_version=lambda: holder.token_version,
+            entitled=holder.entitled, now=self.now, tuning=self.tuning, images=holder.images)
+
+    def _mind_isolation(self, now: float, landlord: Landlord) -> None:
+        """Step down when neither workers nor other controllers can be heard.
 
-    def _mind_isolation(self, now: float, steward: Steward) -> None:
-        """Step down when no worker can be heard that others may well hear."""
-        up = sum(1 for m in steward.machines.values() if m.up or m.recorded)
-        heard = max(steward.last_report, steward.won_at)
-        quiet = now - heard
-        if up and quiet > max(2.5 * self.cluster.workers.report_s, self.ttl):
-            shun = self.cluster.workers.lease_s * SHUN_PER_LEASE
-            others = [at for at in self.peer_heard.values() if now - at < self.ttl]
-            # With the last machine dead no node hears a worker: to step down then would only
-            # pass the authority round, and nobody would hold it for long enough to replace it.
-            if others:
-                latest = max(self.peer_worker.values(), default=float("-inf"))
-                if latest > heard + self.cluster.workers.report_s:
-                    self.authority.step_down(now, "workers report elsewhere", shun)
-            elif self.authority.others and self.alone_token != self.authority.token - 1:
-                # Cut off from everybody. If nobody has led by the next time, there is nobody.
-                self.alone_token = self.authority.token
-                self.authority.step_down(now, "nobody heard", shun)
+        While another controller can be heard, workers that have lost their way are handed on by it.
+        With the last machine dead no node hears a worker: to step down then would only pass the
+        authority round. So it is done once, and again only after somebody else has led.
+        """
+        up = any(h.status.up or h.entry.recorded for h in landlord.machines.values())
+        heard = max([landlord.won_at, *(owner.last_report for owner in self.owners)])
+        alone = not any(now - at < self.ttl for at in self.peer_heard.values())
+        if up and alone and now - heard > max(2.5 * self.cluster.workers.report_s, self.ttl) and (
+            self.authority.others and self.alone_token != self.authority.token - 1
+        ):
+            self.alone_token = self.authority.token
+            self.authority.step_down(now, "nobody heard", self.cluster.workers.lease_s)
         if self.authority.bridging(now) and self._behind(now):
             # The state service refuses this node alone: another can lead with it.
             self.authority.step_down(now, "refused alone by the state service", self.ttl)
@@ -257,12 +317,15 @@
         def age(at: float) -> int:
             return min(peer.NEVER - 1, int((now - at) * 1000)) if at > 0 else peer.NEVER
 
-        beat = peer.Beat(self.authority.counter, age(self.last_state), age(self.last_worker))
+        beat = peer.Beat(self.authority.counter, age(self.last_state))
         for other in self.authority.others:
             self.out.send(other, beat)
-        if self.steward is not None and now >= self.next_counts:
+        if self.owners and now >= self.next_counts:
             self.next_counts = now + 1.0
-            counts = {j: len(job.placed) for j, job in self.jobs.jobs.items() if job.placed}
+            counts = {
+                j: len(job.placed) for j, job in self.jobs.jobs.items()
+                if job.placed and self.pools.get(job.spec.team, 0) in self.holder.owners
+            }
             for other in self.authority.others:
                 self.out.send(other, peer.Counts(counts))
 
@@ -278,18 +341,21 @@
             self._use_types(offer)
             self._store_types(n, offer)
             # Only the leader needs prices that follow the market.
-            self.next_types = n + (30.0 if self.steward is not None else 300.0)
+            self.next_types = n + (30.0 if self.landlord is not None else 300.0)
 
         self.out.calls.append(Call("cloud", "GET", wire.PATH_TYPES, then, b"", 3.0))
 
     def _use_types(self, offer: wire.MachineTypes) -> None:
         self.types.update({t.name: t for t in offer.types})
         self.desk.types = self.types
-        if self.steward is not None:
-            self.steward.boot_s = max(t.boot_s for t in self.types.values())
+        longest = max((t.boot_s for t in self.types.values()), default=20.0)
+        for owner in self.owners:
+            owner.boot_s = longest
+        if self.landlord is not None:
+            self.landlord.boot_s = longest
 
     def _store_types(self, now: float, offer: wire.MachineTypes) -> None:
-        if self.steward is None or len(self.stored_types) > 0:
+        if self.landlord is None or len(self.stored_types) > 0:
             return
         self.ledger.submit(
             now,
--- a/src/copperpass/core/steward.py
+++ b/src/copperpass/core/owner.py
@@ -1,29 +1,38 @@
-"""The leader's work: machines and their tasks, dispatch rounds, rental and returns."""
+"""An owner's work: its teams' tasks on its machines, from reports to orders and rounds."""
 
 from __future__ import annotations
 
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable
 
 from copperpass import wire
 from copperpass.core import allocation, dispatch, rental
 from copperpass.core.authority import DRIFT
+from copperpass.core.directory import (
+    ANYBODY,
+    EMPTY,
+    HANDOVER_SHIFT,
+    UNPOOLED,
+    Contact,
+    Entry,
+    Status,
+)
 from copperpass.core.fleet import Machine, Placement
 from copperpass.core.jobs import LIVE, OVER, Job, JobTable, fits, parse_task, task_id
 from copperpass.core.ledger import APPLIED, Ledger, Op
-from copperpass.core.ports import NO_ANSWER, Call, Outbox, Outcome
+from copperpass.core.ports import Call, Outbox, Outcome
 from copperpass.core.progress import Progress
-from copperpass.core.roster import Roster
-from copperpass.settings import Cluster
+from copperpass.settings import Cluster, Team
 from copperpass.tuning import Tuning
 
-TOKEN_SHIFT = 20
-ATTEMPT_SHIFT = 16
+# Attempts are told apart by term, then by ownership within the term, then counted.
+EPOCH_SHIFT, SERIAL_SHIFT = 44, 28
 GHOST = "?"
+Images = dict[str, "OrderedDict[str, float]"]
 
 
-class Steward:
-    """Acts under one authority; a new one is made for each win."""
+class Owner:
+    """Commands the machines of one pool of teams; a new one is made for each ownership."""
 
     def __init__(
         self,
@@ -32,125 +41,196 @@
         ledger: Ledger,
         jobs: JobTable,
         types: dict[str, wire.MachineType],
-        fleet: tuple[wire.FleetRecord | None, int],
         versions: dict[str, int],
-        token: int,
-        token_version: int,
+        *,
+        pool: int,
+        pools: dict[str, int],
+        epoch: int,
+        serial: int,
+        revision: int,
+        token_version: Callable[[], int],
         entitled: Callable[[float], bool],
         now: float,
         tuning: Tuning | None = None,
+        images: Images | None = None,
     ) -> None:
         self.cluster, self.out, self.ledger, self.jobs = cluster, out, ledger, jobs
         self.types = types
-        self.epoch, self.token_version = token, token_version
-        self.settle_version = token_version
-        self.base_token = token << TOKEN_SHIFT
+        # The pool of each team; `teams` are ours.
+        self.pool, self.pools = pool, pools
+        self.teams: list[Team] = [t for t in cluster.teams if pools[t.name] == pool]
+        self.epoch, self.serial = epoch, serial
+        # Jobs created after this revision can't have been started by an earlier owner.
+        self.revision = revision
         self.entitled = entitled
         self.tuning = tuning or Tuning()
+        self.images: Images = images if images is not None else {}
         self.scarce = dispatch.Scarce(types, self.tuning.keep_scarce_s)
-        self.won_at = now
+        self.since = now
         self.ready = False
+        # Set when the ownership has passed: answers that come later must not touch the jobs.
+        self.over = False
         self.machines: dict[str, Machine] = {}
-        self.gone: dict[str, float] = {}
         self.unsettled: set[str] = set()
-        # Machines with any attempt of a job, by job.
+        # Machines of other pools where tasks of this pool may be, by the leader's word.
+        self.elsewhere: dict[str, str] = {}
+        # Machines given back: their last status is told until the leader has moved them.
+        self.given: dict[str, Status] = {}
         self.where: dict[str, set[str]] = {}
         self.aims = dispatch.Aims(cluster.objectives, self.tuning.patience_s)
         self.dirty = False
         self.report_s = cluster.workers.report_s
         self.lease_s = cluster.workers.lease_s * (1 + 4 * DRIFT) + 0.05 * self.report_s
         self.silence = self.tuning.silence_reports * self.report_s
+        # A worker that loses its way is back, over another node, after this long at most: to delete
+        # its machine sooner would cost its tasks.
+        self.lost_s = max(
+            1.5 * self.silence, self.report_s + wire.REPORT_WAIT_S + 2 * wire.NEXT_NODE_S)
         self.last_report = now
         self.allocations: allocation.Allocation | None = None
         self.recent: dict[str, deque[tuple[float, float, float]]] = {
-            t.name: deque(maxlen=64) for t in cluster.teams
+            t.name: deque(maxlen=64) for t in self.teams
         }
-        self.refusals = rental.Refusals()
         self.boot_s = max((t.boot_s for t in types.values()), default=20.0)
-        self.peak = rental.Peak(self.tuning.warm_window_boots * self.boot_s)
-        self.cheap_peak = rental.Peak(self.tuning.cheap_window_boots * self.boot_s)
         # Whether dear machines could go back: else they stay up, and any work may use them.
         self.dear_excess = True
-        self.booking = 0
-        self.renting: dict[rental.Place, int] = {}
-        self.next_list = now
-        self.listing = False
-        self.next_plan = now
         self.next_scan = now
-        self.next_summary = now
         self.next_round = now
-        self.by_team = {t.name: t for t in cluster.teams}
+        self.by_team = {t.name: t for t in self.teams}
         room = cluster.state.value_kb * 1024
-        write_s = 1 / cluster.state.write_rps
-        self.roster = Roster(
-            ledger, lambda: self.token_version, room, 4 * write_s, cluster.workers.lease_s)
-        self.roster.load(*fleet)
-        self.roster.on_stored = self._marked_up
         self.progress = Progress(
-            jobs, ledger, lambda: self.token_version, versions, 0.8 * room,
-            max(self.report_s / 2, 4 * write_s), cluster.workers.lease_s)
+            jobs, ledger, token_version, versions, pool, 0.8 * room,
+            max(self.report_s / 2, 4 / cluster.state.write_rps), cluster.workers.lease_s)
         self.gpus_matter = any(t.gpus > 0 or t.gpus_max > 0 for t in cluster.teams)
+        for job in jobs.jobs.values():
+            if job.spec.team in self.by_team:
+                job.forget_tasks()
 
-    # -- start of an authority ---------------------------------------------------
+    def mine(self) -> list[Job]:
+        """The jobs of this pool's teams."""
+        return [j for j in self.jobs.jobs.values() if j.spec.team in self.by_team]
+
+    # -- start of an ownership -----------------------------------------------------
 
     def begin(self, now: float) -> None:
-        """The view has caught up with the win: know the machines that may hold tasks."""
+        """The view has caught up: what is not in it is over."""
         self.ready = True
-        for name in self.roster.places:
-            machine = self.machines.get(name) or self._from_roster(now, name)
-            if machine is not None and machine.recorded and not machine.settled:
-                self.unsettled.add(name)
-        for request, (place, count) in list(self.roster.booked.items()):
-            # It may have been carried out: asked again, it names what it brought.
-            self.renting[place] = count
-            self._book(now, place, count, request, 3)
         for machine in self.machines.values():
             for p in list(machine.tasks.values()):
                 self._match_job(now, machine, p)
         self.dirty = True
 
-    def raise_token(self, token: int, version: int) -> None:
-        """Go on under a higher token; nobody else has commanded since the last one."""
-        self.epoch, self.token_version = token, version
-        self.base_token = token << TOKEN_SHIFT
-        for machine in self.machines.values():
-            machine.token = self.base_token
-
-    def _from_roster(self, now: float, name: str) -> Machine | None:
-        place = self.roster.places[name]
-        machine_type = self.types.get(place[0])
-        if machine_type is None or name in self.gone:
+    def learn(self, now: float, entry: Entry) -> None:
+        """The leader's table has an entry for a machine."""
+        name, machine = entry.name, self.machines.get(entry.name)
+        told = self.given.get(name)
+        if told is not None and entry.base != told.base:
+            del self.given[name]
+        if entry.pool != self.pool or entry.gone:
+            if entry.gone and machine is not None:
+                self._gone(now, machine)
+            elsewhere = entry.may_hold == ANYBODY and entry.pool != self.pool and not entry.gone
+            if elsewhere and not entry.failed:
+                self.elsewhere[name] = entry.type
+            elif self.elsewhere.pop(name, None) is not None:
+                self.dirty = True
+            return
+        self.elsewhere.pop(name, None)
+        if machine is None and name not in self.given:
+            machine = self._add(now, entry)
+        if machine is None:
+            return
+        if entry.recorded and not machine.recorded:
+            machine.recorded, self.dirty = True, True
+        if entry.failed and not machine.failed:
+            # It has stopped on its own: nothing runs there any more.
+            machine.failed = True
+            self._session_over(now, machine)
+        if entry.back:
+            self._give_back(now, machine, entry.vacate)
+
+    def _add(self, now: float, entry: Entry) -> Machine | None:
+        machine_type = self.types.get(entry.type)
+        if machine_type is None:
             return None
-        machine = self._new_machine(now, name, machine_type, place[1], place[2])
-        machine.recorded = name in self.roster.stored
-        if machine.recorded:
-            # An earlier authority may have answered the worker up to the moment of our win.
-            machine.last_answer = self.won_at
+        machine = Machine(entry.name, machine_type, entry.zone, entry.spot, entry.base)
+        machine.token = entry.base
+        machine.idle_since = now
+        machine.recorded = entry.recorded
+        machine.images = self.images.setdefault(entry.name, machine.images)
+        self.machines[entry.name] = machine
+        self.dirty = True
+        if entry.contact is not None:
+            # Given back empty a moment ago under the same leader: it can be commanded at once.
+            machine.address = entry.contact.address
+            machine.session, machine.seq = entry.contact.session, entry.contact.seq
+            machine.settled = machine.up = True
+            machine.up_at = machine.last_report = machine.last_answer = now
+        elif entry.recorded and entry.may_hold != EMPTY:
+            # An earlier commander may have answered the worker up to this moment.
+            machine.last_answer = now
+            self.unsettled.add(entry.name)
         return machine
 
-    def _new_machine(
-        self, now: float, name: str, machine_type: wire.MachineType, zone: str, spot: bool
-    ) -> Machine:
-        """A machine that was not known, under this authority's token."""
-        machine = Machine(name, machine_type, zone, spot, token=self.base_token)
-        machine.rented_at = machine.idle_since = now
-        self.machines[name] = machine
-        return machine
+    def _give_back(self, now: float, machine: Machine, vacate: bool) -> None:
+        """The leader wants a machine for others: give it back if it is proven empty."""
+        if machine.empty() and machine.settled and machine.deaf_since is None:
+            contact = Contact(machine.address, machine.session, machine.seq)
+            self._part(machine, Status(
+                machine.name, machine.base, up=True, settled=True, idle=True, given=True,
+                contact=contact))
+        elif vacate:
+            machine.vacating = True
+            for p in list(machine.starts):
+                self._remove(now, machine, p)
+            for p in machine.tasks.values():
+                if p.active and p.stop is None:
+                    p.stop, p.stopping_for = self._save_s(p), "reclaimed"
+                    p.stop_sent = 0.0
+            self._send_direct(now, machine)
 
-    def saw_fleet(self, record: wire.FleetRecord | None, version: int) -> None:
-        """The watch brings the fleet's record: until we begin, it may still be a late write."""
-        if not self.ready:
-            self.roster.load(record, version)
-        else:
-            self.roster.saw(version)
+    def _part(self, machine: Machine, last: Status) -> None:
+        del self.machines[machine.name]
+        self.unsettled.discard(machine.name)
+        self.given[machine.name] = last
+        self.dirty = True
 
-    def _marked_up(self, now: float, names: set[str]) -> None:
-        """The state service knows these machines as up: tasks may start there."""
-        for name in names:
-            machine = self.machines.get(name)
-            if machine is not None:
-                machine.recorded = True
-                self.dirty = True
+    def _gone(self, now: float, machine: Machine) -> None:
+        """The cloud has confirmed: the machine and all on it are gone."""
+        self._session_over(now, machine)
+        self.machines.pop(machine.name, None)
+        self.images.pop(machine.name, None)
+
+    def statuses(self, now: float) -> list[Status]:
+        """What the leader should know of the machines."""
+        told = list(self.given.values())
+        for m in self.machines.values():
+            idle = m.up and m.recorded and m.empty()
+            settled = m.settled and not m.foreign
+            told.append(Status(
+                m.name, m.base, m.up, settled, idle, release=m.releasing, used_cpus=m.used_cpus))
+        return told
+
+    def wants(self, now: float) -> list[tuple[str, int, float]]:
+        """Tasks that the machines have no room for in time: job, count, seconds left."""
+        rooms = rental.rooms_of(self.machines.values(), now, self.silence)
+        unmet = []
+        demand = dict.fromkeys(self.by_team, 0.0)
+        jobs = dispatch.task_order(self.mine(), self.aims, now, self.boot_s / 2)
+        for job in jobs:
+            spec, count = job.spec, job.waiting()
+            room = self.by_team[spec.team].cpus_max - demand[spec.team]
+            demand[spec.team] += len(job.placed) * spec.cpus
+            if count <= 0 or now < job.hold_until or len(job.failed_on) >= 3:
+                continue
+            demand[spec.team] += count * spec.cpus
+            if spec.cpus > 0:
+                count = min(count, max(0, int(room / spec.cpus)))
+            horizon = max(0.0, self.aims.due(job, now) - now)
+            left = rental.fill(rooms, spec, count, horizon, self.scarce.closed_to(spec))
+            if left > 0:
+                unmet.append((spec.id, left, horizon))
+        return unmet
 
     # -- reports --------------------------------------------------------------------
 
@@ -161,18 +241,9 @@
 
         `handed`: it came over another controller, since its worker doesn't reach this one.
         """
-        if report.token >> TOKEN_SHIFT > self.epoch:
-            return None
         machine = self.machines.get(report.machine)
-        if machine is None:
-            machine_type = self.types.get(report.type)
-            if machine_type is None or report.machine in self.gone:
-                return None
-            machine = self._new_machine(
-                now, report.machine, machine_type, report.zone, report.spot
-            )
-            # Neither room nor a place for starts until an answer has reached it.
-            machine.rumoured = True
+        if machine is None or report.token >> HANDOVER_SHIFT > machine.base >> HANDOVER_SHIFT:
+            return None
         if (report.session, report.seq) <= (machine.session, machine.seq):
             # A late copy: it changes nothing, and its answer carries no orders. What its answer
             # could renew was sent before the newest message that we know of came in.
@@ -185,8 +256,6 @@
             # Only two-way contact counts as hearing workers: a report alone may be a late copy.
             self.last_report = now
         machine.last_answer = now
-        if not machine.recorded:
-            self.roster.came_up(now, machine.name, (machine.type.name, machine.zone, machine.spot))
         commands = self._orders(now, machine, report)
         return wire.ReportAnswer(machine.token, commands)
 
@@ -197,7 +266,6 @@
                 self._session_over(now, machine)
             machine.session = report.session
         machine.seq = report.seq
-        machine.token = max(machine.token, self.base_token)
         machine.address = report.address
         machine.last_report = now
         if not machine.up:
@@ -208,8 +276,8 @@
             self._noticed(now, machine)
         if machine.deaf_since is not None and report.token >= machine.probe:
             machine.deaf_since, self.dirty = None, True
-        if not machine.settled and report.token >= self.base_token:
-            machine.settled, machine.rumoured = True, False
+        if not machine.settled and report.token >= machine.base:
+            machine.settled = True
             self.unsettled.discard(machine.name)
             self.dirty = True
         listed = set()
@@ -233,6 +301,27 @@
         machine.recount()
         if machine.tasks:
             machine.idle_since = now
+            self._mind_foreign(now, machine)
+        else:
+            machine.foreign = False
+            if machine.vacating and not machine.starts:
+                self._give_back(now, machine, False)
+
+    def _mind_foreign(self, now: float, machine: Machine) -> None:
+        """Tasks of another pool are here: the leader didn't know whose machine it is."""
+        foreign = [p for p in machine.tasks.values() if p.foreign]
+        machine.foreign = bool(foreign)
+        if not foreign:
+            return
+        if len(foreign) == len(machine.tasks) and not machine.do_in_flight:
+            pool = next((p.pool for p in foreign if p.pool != UNPOOLED), UNPOOLED)
+            if pool != UNPOOLED:
+                self._part(machine, Status(
+                    machine.name, machine.base, up=True, given=True, pool=pool))
+                return
+        for p in foreign:
+            if p.active and p.stop is None:
+                p.stop, p.stopping_for = 0.0, "foreign"
 
     def _strike(self, now: float, machine: Machine) -> None:
         """What was sent has not arrived for certain, although reports do: it may be deaf.
@@ -273,6 +362,9 @@
     def _match_job(self, now: float, machine: Machine, p: Placement) -> None:
         job = self.jobs.jobs.get(p.job_id)
         if job is not None:
+            if self.pools.get(job.spec.team, self.pool) != self.pool:
+                p.foreign, p.pool = True, self.pools[job.spec.team]
+                return
             if p.team == GHOST:
                 spec = job.spec
                 p.team, p.job_class = spec.team, spec.job_class
@@ -298,6 +390,9 @@
     def _update(self, now: float, machine: Machine, p: Placement, task: wire.TaskReport) -> None:
         was_active = p.active
         p.seen = True
+        if p.foreign:
+            p.state = task.state
+            return
         job = self.jobs.jobs.get(p.job_id)
         if task.state != wire.EXITED:
             if was_active:
@@ -379,10 +474,13 @@
         for p in machine.tasks.values():
             if not p.active or p.stop is not None:
                 continue
-            job = self.jobs.jobs.get(p.job_id)
-            save = job.spec.save_s if job and job.spec.checkpoint_s > 0 else 0.0
             if dispatch.remaining(p, now) > 1.5 * left:
-                p.stop, p.stopping_for = (save * 1.2 if save else 0.0), "notice"
+                p.stop, p.stopping_for = self._save_s(p), "notice"
+
+    def _save_s(self, p: Placement) -> float:
+        """What a task is given to save itself when it is stopped."""
+        job = self.jobs.jobs.get(p.job_id)
+        return 1.2 * job.spec.save_s if job and job.spec.checkpoint_s > 0 else 0.0
 
     def _remove(self, now: float, machine: Machine, p: Placement) -> None:
         """A task is proven not to be on its machine."""
@@ -400,6 +498,8 @@
             self._remove(now, machine, p)
         machine.starts.clear()
         machine.images.clear()
+        if machine.vacating:
+            self._give_back(now, machine, False)
         self.unsettled.discard(machine.name)
 
     # -- orders ------------------------------------------------------------------------
@@ -470,6 +570,8 @@
         self, now: float, outcome: Outcome, machine: Machine, starts: list[Placement]
     ) -> None:
         machine.do_in_flight = False
+        if self.over:
+            return
         report = None
         if outcome.status in (200, 409):
             report = wire.decode(outcome.body, wire.Report)
@@ -487,7 +589,7 @@
                 p.barrier = machine.token
         newer = report is not None and (
             (report.session, report.seq) > (machine.session, machine.seq)
-            and report.token >> TOKEN_SHIFT <= self.epoch
+            and report.token >> HANDOVER_SHIFT <= machine.base >> HANDOVER_SHIFT
         )
         if report is not None and newer:
             self._take(now, machine, report, False)
@@ -526,6 +628,8 @@
 
     def job_over(self, now: float, job: Job) -> None:
         """The job's record is gone: nothing of it may start, and all of it must go."""
+        if self.pools.get(job.spec.team, self.pool) != self.pool:
+            return
         self.progress.over(job)
         for name in self.where.pop(job.spec.id, ()):
             machine = self.machines.get(name)
@@ -556,62 +660,46 @@
         if now >= self.next_scan:
             self.next_scan = now + self.report_s / 4
             self._scan(now)
-        self.roster.tick(now)
         self.progress.tick(now)
-        if now >= self.next_list and not self.listing:
-            self._list(now)
-        if now >= self.next_plan and self.types:
-            self.next_plan = now + max(0.5, 2.0 / self.cluster.cloud.rps)
-            self._plan(now)
         if self.dirty and now >= self.next_round:
             self.round(now)
 
     def _scan(self, now: float) -> None:
+        up = [m for m in self.machines.values() if m.up]
+        silent = sum(1 for m in up if now - m.contact > self.silence)
         for machine in list(self.machines.values()):
             ended = float("-inf") < machine.last_answer < now - self.lease_s
             if ended and (machine.tasks or machine.name in self.unsettled):
                 self.out.log("info", "lease over", machine=machine.name)
                 self._session_over(now, machine)
-            if ended and not machine.up and machine.recorded and not machine.releasing:
-                # Known from its record alone and silent for a whole lease: it is gone, or cut off
+            if ended and not machine.up and machine.recorded:
+                # Known by its record alone and silent for a whole lease: it is gone, or cut off
                 # with nothing on it. Its record would hold up the next change of leader too.
-                self._release(now, [machine])
+                machine.releasing = True
             quiet = now - machine.contact
-            if machine.up and quiet > 1.5 * self.silence and not machine.releasing:
+            if machine.up and quiet > self.lost_s and (
+                silent * 3 <= len(up) or quiet > self.lease_s
+            ):
                 # A silent machine among speaking ones: have the cloud end it, which frees its
                 # tasks sooner than its lease would.
-                silent = sum(
-                    1 for m in self.machines.values()
-                    if m.up and now - m.contact > self.silence
-                )
-                live = sum(1 for m in self.machines.values() if m.up)
-                if silent * 3 <= live or quiet > self.lease_s:
-                    self._release(now, [machine])
-            if machine.up and not machine.settled and not machine.releasing and (
-                now - machine.up_at > self.lease_s
-            ):
+                machine.releasing = True
+            if machine.up and not machine.settled and now - machine.up_at > self.lease_s:
                 # It speaks, but for a whole lease no answer has reached it: its session is over
                 # by then, and a machine that can be commanded is worth more.
-                self._release(now, [machine])
-            slow = 5 * machine.type.boot_s
-            if not machine.up and not machine.releasing and now - machine.rented_at > slow:
-                self._release(now, [machine])
-            if machine.releasing and now - machine.release_sent > 2.0:
-                self._release(now, [machine])
-        for job in list(self.jobs.jobs.values()):
-            # Also a job all of whose ends an earlier authority stored without ending it.
+                machine.releasing = True
+            if machine.fenced and machine.empty():
+                machine.releasing = True
+        for job in self.mine():
+            # Also a job all of whose ends an earlier owner stored without ending it.
             if (job.finished or job.ended()) and not job.storing:
                 self._store(now, job)
-        for name in [n for n, at in self.gone.items()
-                     if now - at > 20 * self.cluster.cloud.list_lag_s + self.lease_s]:
-            del self.gone[name]
         self.dirty = True
 
     # -- dispatch ------------------------------------------------------------------------
 
     def _usage(self) -> dict[str, tuple[float, float]]:
         """What each team's tasks take or may take."""
-        used = {t.name: [0.0, 0.0] for t in self.cluster.teams}
+        used = {t.name: [0.0, 0.0] for t in self.teams}
         ghosts = [0.0, 0.0]
         for machine in self.machines.values():
             ghost = False
@@ -628,21 +716,25 @@
                 cpus, gpus, _ = machine.room()
                 ghosts[0] += max(0.0, cpus)
                 ghosts[1] += max(0.0, gpus)
+        for kind in self.elsewhere.values():
+            if kind in self.types:
+                ghosts[0] += self.types[kind].cpus
+                ghosts[1] += self.types[kind].gpus
         return {name: (u[0] + ghosts[0], u[1] + ghosts[1]) for name, u in used.items()}
 
     def _startable(self, job: Job, now: float) -> bool:
         if now < job.hold_until:
             return False
-        # Tasks of a job from before our win may still run where we have not looked yet.
-        return not (self.unsettled and job.created <= self.settle_version)
+        # Tasks of a job from before our time may still run where we have not looked yet.
+        return not ((self.unsettled or self.elsewhere) and job.created <= self.revision)
 
     def _claims(self) -> list[allocation.Claim]:
         claims = []
         demand: dict[str, int] = {}
-        for job in self.jobs.jobs.values():
+        for job in self.mine():
             waiting = job.waiting() + len(job.placed)
             demand[job.spec.team] = demand.get(job.spec.team, 0) + waiting
-        for team in self.cluster.teams:
+        for team in self.teams:
             recent = self.recent[team.name]
             if not recent or not demand.get(team.name):
                 continue
@@ -669,12 +761,11 @@
         )
         self.allocations = allocation.allocate(self._claims(), capacity)
         used = self._usage()
-        dispatch.judge_guarantees(
-            self.jobs.jobs.values(), {t.name: t.cpus for t in self.cluster.teams}
-        )
-        running = {t.name: 0 for t in self.cluster.teams}
-        queues: dict[str, list[Job]] = {t.name: [] for t in self.cluster.teams}
-        for job in self.jobs.jobs.values():
+        jobs = self.mine()
+        dispatch.judge_guarantees(jobs, {t.name: t.cpus for t in self.teams})
+        running = {t.name: 0 for t in self.teams}
+        queues: dict[str, list[Job]] = {t.name: [] for t in self.teams}
+        for job in jobs:
             running[job.spec.team] = running.get(job.spec.team, 0) + len(job.placed)
             if job.waiting() > 0 and self._startable(job, now):
                 queues.setdefault(job.spec.team, []).append(job)
@@ -682,14 +773,12 @@
         order = {
             name: dispatch.task_order(q, self.aims, now, bonus) for name, q in queues.items()
         }
-        smallest = min(
-            (j.spec.cpus for j in self.jobs.jobs.values() if j.spec.cpus > 0), default=0.0
-        )
+        smallest = min((j.spec.cpus for j in jobs if j.spec.cpus > 0), default=0.0)
         roomy = [m for m in usable if fits(smallest, m.room()[0])]
         holding: set[str] = set()
         stuck: list[Job] = []
         touched: dict[str, Machine] = {}
-        self.scarce.note(now, self.jobs.jobs.values())
+        self.scarce.note(now, jobs)
         while usable:
             names = [name for name, q in order.items() if q]
             if not names:
@@ -753,7 +842,7 @@
     def _start(self, now: float, job: Job, index: int, machine: Machine) -> None:
         job.attempts += 1
         spec = job.spec
-        attempt = (self.epoch << ATTEMPT_SHIFT) + job.attempts
+        attempt = (self.epoch << EPOCH_SHIFT) + (self.serial << SERIAL_SHIFT) + job.attempts
         p = Placement(
             spec.id, index, attempt, machine.name, spec.team, spec.job_class,
             wire.PRIORITIES[spec.priority], spec.cpus, spec.gpus, spec.memory_gb, spec.image,
@@ -773,7 +862,7 @@
         used: dict[str, tuple[float, float]],
     ) -> None:
         """Stop work of lower priority, or borrowed room, for tasks that would miss their aim."""
-        over = {t.name for t in self.cluster.teams if used[t.name][0] > t.cpus + 1e-6}
+        over = {t.name for t in self.teams if used[t.name][0] > t.cpus + 1e-6}
         stopping = sum(
             1 for m in self.machines.values() for p in m.tasks.values()
             if p.active and p.stop is not None and p.stopping_for == "preempted"
@@ -804,191 +893,10 @@
                 if best is None:
                     break
                 for p in best[2]:
-                    owner = self.jobs.jobs.get(p.job_id)
-                    save = owner.spec.save_s if owner and owner.spec.checkpoint_s > 0 else 0.0
-                    p.stop, p.stopping_for = save * 1.2, "preempted"
+                    p.stop, p.stopping_for = self._save_s(p), "preempted"
                     p.stop_sent = 0.0
                     stopping += 1
                 budget -= 1
                 best[1].held_for = spec.id
                 best[1].held_until = now + 2 * self.report_s
                 self._send_direct(now, best[1])
-
-    # -- rental ------------------------------------------------------------------------
-
-    def _plan(self, now: float) -> None:
-        waiting: list[tuple[Job, int]] = []
-        demand = dict.fromkeys(self.by_team, 0.0)
-        tight = 0.0
-        jobs = dispatch.task_order(self.jobs.jobs.values(), self.aims, now, self.boot_s / 2)
-        for job in jobs:
-            spec = job.spec
-            count = job.waiting()
-            wait = self.aims.tightest_wait(spec.job_class)
-            within = wait is not None and wait < self.boot_s
-            if self.aims.guarantee is not None and self.aims.guarantee < self.boot_s:
-                within = within or job.guaranteed
-            if within:
-                tight += (count + len(job.placed)) * spec.cpus
-            team = self.by_team[spec.team]
-            if count > 0 and now >= job.hold_until and len(job.failed_on) < 3:
-                room = team.cpus_max - demand[spec.team]
-                demand[spec.team] += (len(job.placed) + count) * spec.cpus
-                if spec.cpus > 0:
-                    count = min(count, max(0, int(room / spec.cpus)))
-                if count > 0:
-                    waiting.append((job, count))
-            else:
-                demand[spec.team] += len(job.placed) * spec.cpus
-        limit = sum(t.cpus_max for t in self.cluster.teams)
-        self.peak.add(now, min(tight, limit))
-        self.cheap_peak.add(now, min(tight, limit))
-        warm = rental.Warm(self.peak.value(), self.cheap_peak.value())
-        if not self.unsettled:
-            wanted = rental.plan(
-                waiting, self.machines, self.types, self.aims, self.refusals, warm, now,
-                self.silence, self.tuning.patient_boots, self.scarce,
-            )
-            for place, count in wanted.items():
-                if self.renting.get(place, 0) == 0:
-                    self._rent(now, place, min(count, 50))
-        room = sum(m.type.cpus for m in self.machines.values() if not m.releasing and not m.failed)
-        self.dear_excess = room > warm.any
-        if now >= self.next_summary:
-            self.next_summary = now + 5 * self.report_s
-            self._summary(now, warm.any, tight)
-        back = rental.to_return(
-            self.machines, warm, now, self.tuning.idle_boots * self.boot_s
-        )
-        if back:
-            self._release(now, back[:100])
-
-    def _summary(self, now: float, warm: float, tight: float) -> None:
-        """Say for the log how the fleet stands."""
-        kinds: dict[str, list[float]] = {}
-        for m in self.machines.values():
-            state = "up" if m.up else "starting"
-            sums = kinds.setdefault(f"{m.type.name} {'spot' if m.spot else 'ordinary'} {state}",
-                                    [0, 0.0, 0.0, 0.0])
-            sums[0] += 1
-            sums[1] += m.type.cpus
-            sums[2] += m.used_cpus
-            sums[3] += sum(p.cpus for p in m.tasks.values() if p.active and p.running_at)
-        waiting = sum(j.waiting() for j in self.jobs.jobs.values())
-        self.out.log("info", "fleet", warm=round(warm), tight=round(tight), waiting=waiting,
-                     machines={k: [round(x) for x in v] for k, v in kinds.items()})
-
-    def _rent(self, now: float, place: rental.Place, count: int) -> None:
-        self.booking += 1
-        # The token is this authority's alone, so the name is never used again by any node.
-        request = f"b-{self.epoch}-{self.booking}"
-        self.renting[place] = count
-
-        def stored(n: float, ok: bool) -> None:
-            if ok and self.entitled(n):
-                self._book(n, place, count, request, 3)
-            else:
-                self.renting.pop(place, None)
-                self.roster.ended(n, request, [])
-
-        self.roster.book(now, request, place, count, stored)
-
-    def _book(self, now: float, place: rental.Place, count: int, request: str, tries: int) -> None:
-        def then(n: float, outcome: Outcome) -> None:
-            if outcome.status == 200:
-                self.renting.pop(place, None)
-                rented = wire.decode(outcome.body, wire.Rented)
-                names = rented.machines if rented else []
-                if len(names) < count:
-                    self.refusals.refused(place, n, self.boot_s / 2)
-                else:
-                    self.refusals.granted(place)
-                self.out.log("info", "rented", place=str(place), count=len(names))
-                self.roster.ended(n, request, names)
-                for name in names:
-                    self._rented(n, name, place)
-                return
-            if outcome.status in (NO_ANSWER, 429) and tries > 1 and self.entitled(n):
-                self._book(n, place, count, request, tries - 1)
-                return
-            self.renting.pop(place, None)
-            self.refusals.refused(place, n, self.boot_s / 2)
-            if outcome.status != NO_ANSWER:
-                self.roster.ended(n, request, [])
-
-        body = wire.rental(request, place[0], place[1], place[2], count)
-        self.out.calls.append(Call("cloud", "POST", wire.PATH_RENTALS, then, body, 3.0))
-
-    def _rented(self, now: float, name: str, place: rental.Place) -> None:
-        machine = self.machines.get(name)
-        if machine is None:
-            self._new_machine(now, name, self.types[place[0]], place[1], place[2])
-
-    def _release(self, now: float, machines: list[Machine]) -> None:
-        if not self.entitled(now):
-            return
-        names = [m.name for m in machines]
-        for machine in machines:
-            machine.releasing = True
-            machine.release_sent = now
-
-        def then(n: float, outcome: Outcome) -> None:
-            if outcome.status == 200:
-                for machine in machines:
-                    self._machine_gone(n, machine)
-
-        self.out.calls.append(
-            Call("cloud", "POST", wire.PATH_RELEASE, then, wire.release(names), 3.0)
-        )
-
-    def _machine_gone(self, now: float, machine: Machine) -> None:
-        """The cloud has confirmed: the machine and all on it are gone."""
-        if self.machines.get(machine.name) is not machine:
-            return
-        self._session_over(now, machine)
-        del self.machines[machine.name]
-        self.gone[machine.name] = now
-        self.roster.gone(now, machine.name)
-
-    def _list(self, now: float) -> None:
-        self.listing = True
-        self.next_list = now + max(self.cluster.cloud.list_lag_s / 2, 4 / self.cluster.cloud.rps)
-        self.out.calls.append(
-            Call("cloud", "GET", wire.path_machines(""), self._listed, b"", 3.0)
-        )
-
-    def _listed(self, now: float, outcome: Outcome) -> None:
-        self.listing = False
-        page = wire.decode(outcome.body, wire.MachineList) if outcome.status == 200 else None
-        if page is None or not self.ready:
-            return
-        names = set()
-        for item in page.machines:
-            names.add(item.id)
-            if item.id in self.gone:
-                continue
-            machine = self.machines.get(item.id)
-            if machine is None:
-                machine_type = self.types.get(item.type)
-                if machine_type is None:
-                    continue
-                machine = self._new_machine(now, item.id, machine_type, item.zone, item.spot)
-                machine.rented_at = now - item.age_s
-                self.roster.rented(now, item.id, (item.type, item.zone, item.spot))
-            machine.listed = True
-            if item.state == "failed" and not machine.failed:
-                # It has stopped on its own: nothing runs there any more.
-                machine.failed = True
-                self._session_over(now, machine)
-                self._release(now, [machine])
-        if page.more:
-            path = wire.path_machines(page.machines[-1].id)
-            self.out.calls.append(Call("cloud", "GET", path, self._listed, b"", 3.0))
-            return
-        for machine in self.machines.values():
-            heard = max(machine.last_report, machine.last_answer, self.won_at)
-            missing = machine.listed and machine.up and machine.name not in names
-            if missing and now - heard > self.lease_s:
-                # Probably taken; a list may be stale, so only the answer to a deletion counts.
-                self._release(now, [machine])
-        self.dirty = True
--- a/src/copperpass/core/progress.py
+++ b/src/copperpass/core/progress.py
@@ -33,11 +33,11 @@
 
 
 class Progress:
-    """The writer of the records of ends; one a leader."""
+    """The writer of the records of ends; one an owner."""
 
     def __init__(
         self, jobs: JobTable, ledger: Ledger, token_version: Callable[[], int],
-        versions: dict[str, int], room: float, gather_s: float, deadline_s: float,
+        versions: dict[str, int], pool: int, room: float, gather_s: float, deadline_s: float,
     ) -> None:
         self.jobs, self.ledger, self.token_version = jobs, ledger, token_version
         self.room, self.gather_s, self.deadline_s = room, gather_s, deadline_s
@@ -45,7 +45,10 @@
         self.page_of: dict[str, Page] = {}
         # Versions as the watch saw them; shared with the node, which keeps them up.
         self.versions = versions
+        self.prefix = f"{ENDS}{pool}."
         for key, held in sorted(jobs.pages.items()):
+            if not key.startswith(self.prefix):
+                continue
             for job_id in held:
                 job = jobs.jobs.get(job_id)
                 if job is not None and job_id not in self.page_of:
@@ -71,7 +74,7 @@
                 return
             page = next(
                 (p for p in self.pages.values() if p.size + _size(job) <= self.room), None
-            ) or self._page(f"{ENDS}{len(self.pages)}")
+            ) or self._page(f"{self.prefix}{len(self.pages)}")
             self._put(job, page)
         if page.since is None:
             page.since = now
--- a/src/copperpass/core/rental.py
+++ b/src/copperpass/core/rental.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from copperpass import wire
-from copperpass.core.dispatch import Aims, Scarce, price_of, remaining
+from copperpass.core.dispatch import price_of, remaining
 from copperpass.core.fleet import Machine, allows, type_fits
-from copperpass.core.jobs import Job
 
 Place = tuple[str, str, bool]
 
@@ -144,11 +144,11 @@
     return best
 
 
-def rooms_of(machines: dict[str, Machine], now: float, silence: float) -> list[Room]:
+def rooms_of(machines: Iterable[Machine], now: float, silence: float) -> list[Room]:
     """What the machines that serve, or will soon, have to offer."""
     rooms = []
-    for m in machines.values():
-        if m.releasing or m.failed or m.fenced or m.rumoured or m.notice_until is not None:
+    for m in machines:
+        if m.releasing or m.failed or m.fenced or m.vacating or m.notice_until is not None:
             continue
         if m.up and (now - m.last_report > silence or m.deaf_since is not None):
             continue
@@ -160,91 +160,21 @@
     return rooms
 
 
-def plan(
-    waiting: list[tuple[Job, int]],
-    machines: dict[str, Machine],
-    types: dict[str, wire.MachineType],
-    aims: Aims,
-    refusals: Refusals,
-    warm: Warm,
-    now: float,
-    silence: float,
-    patient_boots: float,
-    scarce: Scarce,
-) -> dict[Place, int]:
-    """Machines to rent for the tasks that wait, and for the room that must stay warm."""
-    rooms = rooms_of(machines, now, silence)
-    zones: dict[str, int] = {}
+def new_room(machine_type: wire.MachineType, place: Place) -> Room:
+    """What an empty machine offers."""
+    return Room(machine_type, place[1], place[2],
+                machine_type.cpus, machine_type.gpus, machine_type.memory_gb, [])
+
+
+def fill(
+    rooms: list[Room], spec: wire.Spec, count: int, horizon: float, closed: set[str]
+) -> int:
+    """Give room to tasks that may start within the horizon; returns how many are left."""
     for room in rooms:
-        zones[room.zone] = zones.get(room.zone, 0) + 1
-    wanted: dict[Place, int] = {}
-
-    def rent(place: Place) -> Room:
-        machine_type = types[place[0]]
-        wanted[place] = wanted.get(place, 0) + 1
-        zones[place[1]] = zones.get(place[1], 0) + 1
-        room = Room(
-            machine_type, place[1], place[2],
-            machine_type.cpus, machine_type.gpus, machine_type.memory_gb, [],
-        )
-        rooms.append(room)
-        return room
-
-    for job, count in waiting:
-        spec = job.spec
-        horizon = max(0.0, aims.due(job, now) - now)
-        left = count
-        closed = scarce.closed_to(spec)
-        for room in rooms:
-            if room.type.name in closed:
-                continue
-            left -= room.take(spec, left, horizon)
-            if left <= 0:
-                break
-        while left > 0 and sum(wanted.values()) < 50:
-            # Work that can wait for longer than a boot asks only for the cheap kind at first.
-            patient = horizon > patient_boots * max(t.boot_s for t in types.values())
-            spot_only = patient and spec.spot
-            place = choose_place(spec, left, types, zones, refusals, now, spot_only, closed)
-            if place is None:
-                break
-            left -= rent(place).take(spec, left, horizon)
-    total = sum(room.type.cpus for room in rooms)
-    dear = {name for names in scarce.seen for name in names}
-    for cpus, spot_only in ((warm.any, False), (warm.cheap, True)):
-        while total < cpus and sum(wanted.values()) < 50:
-            place = choose_place(None, 1, types, zones, refusals, now, spot_only, dear)
-            if place is None:
-                break
-            total += rent(place).type.cpus
-    return wanted
-
-
-def to_return(
-    machines: dict[str, Machine],
-    warm: Warm,
-    now: float,
-    idle_limit: float,
-) -> list[Machine]:
-    """Idle machines that cost more than their expected next use."""
-    live = [m for m in machines.values() if not m.releasing and not m.failed]
-    total = sum(m.type.cpus for m in live)
-    idle = [
-        m
-        for m in live
-        if m.up and m.recorded and not m.tasks and not m.starts and not m.do_in_flight
-        and now - max(m.idle_since, m.up_at) >= (0.0 if m.fenced else idle_limit)
-    ]
-
-    def dearness(m: Machine) -> float:
-        return -price_of(m.type, m.spot) / max(m.type.cpus, 1e-6)
-
-    chosen = []
-    for m in sorted(idle, key=dearness):
-        if m.notice_until is not None:
-            # It goes by itself, and is not charged for longer than it is there.
-            continue
-        if m.fenced or total - m.type.cpus >= (warm.cheap if m.spot else warm.any):
-            chosen.append(m)
-            total -= m.type.cpus
-    return chosen
+        if count <= 0:
+            break
+        if room.type.name not in closed:
+            count -= room.take(spec, count, horizon)
+    return count
+
+
--- a/src/copperpass/net/service.py
+++ b/src/copperpass/net/service.py
@@ -76,9 +76,11 @@
 
     def _round_soon(self) -> None:
         """Gather what comes in close together into one round."""
-        steward = self.node.steward
-        if steward is not None and steward.dirty and self.soon is None:
-            wait = max(0.01, steward.next_round - self.now())
+        if self.soon is not None:
+            return
+        due = [owner.next_round for owner in self.node.owners if owner.dirty]
+        if due:
+            wait = max(0.01, min(due) - self.now())
             self.soon = self.reactor.callLater(wait, self._soon)
 
     def _soon(self) -> None:
--- a/src/copperpass/peer.py
+++ b/src/copperpass/peer.py
@@ -9,11 +9,15 @@
 
 import struct
 from dataclasses import dataclass, field
+from typing import Any
+
+from copperpass.core.directory import Contact, Entry, Status
 
 MAGIC, VERSION = b"cp", 2
 HEADER = struct.Struct("!2sBBI")
 HELLO, BEAT, ASK, PROMISE, COUNTS, HANDED, ANSWERED = range(1, 8)
-_BEAT = struct.Struct("!QII")
+PULL, GRANT, ENTRIES, STATUSES, WANTS = range(8, 13)
+_BEAT = struct.Struct("!QI")
 _ASK = struct.Struct("!QQ")
 _ANSWER = struct.Struct("!QQB")
 _COUNT = struct.Struct("!BI")
@@ -37,11 +41,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Beat:
-    """A sign of life: the highest token seen, and ages in ms of the last contacts."""
+    """A sign of life: the highest token seen, and the age of the last answer of the state."""
 
     token: int
     state_age_ms: int
-    worker_age_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,7 +88,217 @@
     body: bytes
 
 
-Frame = Hello | Beat | Ask | Promise | Counts | Handed | Answered
+@dataclass(frozen=True, slots=True)
+class Pull:
+    """A member asks its leader to extend its grants."""
+
+    epoch: int
+    incarnation: int
+    number: int
+    applied: int
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """Who owns a pool of teams; the serial tells one ownership from the next."""
+
+    pool: int
+    member: str
+    serial: int
+    revision: int
+    # The number of the leader's table that the owner must have reached before it starts anything.
+    at: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """The answer to Pull: for how long, from the asking, the shares hold."""
+
+    epoch: int
+    incarnation: int
+    number: int
+    length_ms: int
+    token_version: int
+    dear_excess: bool
+    applied: int
+    shares: tuple[Share, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Entries:
+    """Part of the leader's table of machines."""
+
+    epoch: int
+    incarnation: int
+    before: int
+    upto: int
+    entries: tuple[Entry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Statuses:
+    """Part of an owner's table of machines."""
+
+    epoch: int
+    incarnation: int
+    before: int
+    upto: int
+    statuses: tuple[Status, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Wants:
+    """Tasks of a pool that its machines have no room for in time: job, count, seconds left."""
+
+    epoch: int
+    pool: int
+    applied: int
+    wants: tuple[tuple[str, int, float], ...]
+
+
+Frame = (
+    Hello | Beat | Ask | Promise | Counts | Handed | Answered
+    | Pull | Grant | Entries | Statuses | Wants
+)
+_PULL = struct.Struct("!QQIQ")
+_GRANT = struct.Struct("!QQIIQBQB")
+_SHARE = struct.Struct("!BIQQ")
+_PART = struct.Struct("!QQQQH")
+_ENTRY = struct.Struct("!BQBB")
+_STATUS = struct.Struct("!QBBf")
+_CONTACT = struct.Struct("!QQ")
+_WANTS = struct.Struct("!QBQH")
+_WANT = struct.Struct("!If")
+
+
+def _text(value: str) -> bytes:
+    raw = value.encode()[:255]
+    return bytes((len(raw),)) + raw
+
+
+def _flags(*values: bool) -> int:
+    return sum(1 << n for n, value in enumerate(values) if value)
+
+
+def _contact(contact: Contact | None) -> bytes:
+    if contact is None:
+        return b""
+    return _text(contact.address) + _CONTACT.pack(contact.session, contact.seq)
+
+
+class _Reader:
+    """Reads a payload from front to back."""
+
+    def __init__(self, payload: bytes) -> None:
+        self.payload, self.at = payload, 0
+
+    def unpack(self, form: struct.Struct) -> tuple[Any, ...]:
+        values = form.unpack_from(self.payload, self.at)
+        self.at += form.size
+        return values
+
+    def text(self) -> str:
+        if self.at >= len(self.payload):
+            raise BadFrame("short")
+        end = self.at + 1 + self.payload[self.at]
+        raw = self.payload[self.at + 1 : end]
+        if end > len(self.payload):
+            raise BadFrame("short")
+        self.at = end
+        return raw.decode()
+
+    def contact(self, there: bool) -> Contact | None:
+        return Contact(self.text(), *self.unpack(_CONTACT)) if there else None
+
+    def end(self) -> None:
+        if self.at != len(self.payload):
+            raise BadFrame("long")
+
+
+def _pack_entry(entry: Entry) -> bytes:
+    flags = _flags(entry.spot, entry.recorded, entry.back, entry.vacate, entry.failed, entry.gone,
+                   entry.contact is not None)
+    return (_text(entry.name) + _text(entry.type) + _text(entry.zone)
+            + _ENTRY.pack(entry.pool, entry.base, entry.may_hold, flags) + _contact(entry.contact))
+
+
+def _read_entry(reader: _Reader) -> Entry:
+    name, kind, zone = reader.text(), reader.text(), reader.text()
+    pool, base, may_hold, flags = reader.unpack(_ENTRY)
+    spot, recorded, back, vacate, failed, gone, there = (bool(flags >> n & 1) for n in range(7))
+    return Entry(name, kind, zone, spot, pool, base, may_hold, recorded, back, vacate, failed, gone,
+                 reader.contact(there))
+
+
+def _pack_status(status: Status) -> bytes:
+    flags = _flags(status.up, status.settled, status.idle, status.given, status.release,
+                   status.contact is not None)
+    return (_text(status.name) + _STATUS.pack(status.base, flags, status.pool, status.used_cpus)
+            + _contact(status.contact))
+
+
+def _read_status(reader: _Reader) -> Status:
+    name = reader.text()
+    base, flags, pool, used = reader.unpack(_STATUS)
+    up, settled, idle, given, release, there = (bool(flags >> n & 1) for n in range(6))
+    return Status(name, base, up, settled, idle, given, pool, release, used, reader.contact(there))
+
+
+def _pack_share(frame: Pull | Grant | Entries | Statuses | Wants) -> tuple[int, bytes]:
+    """The frames of grants and shares."""
+    if isinstance(frame, Pull):
+        return PULL, _PULL.pack(frame.epoch, frame.incarnation, frame.number, frame.applied)
+    if isinstance(frame, Grant):
+        head = _GRANT.pack(frame.epoch, frame.incarnation, frame.number, frame.length_ms,
+                           frame.token_version, frame.dear_excess, frame.applied,
+                           len(frame.shares))
+        return GRANT, head + b"".join(
+            _text(s.member) + _SHARE.pack(s.pool, s.serial, s.revision, s.at)
+            for s in frame.shares)
+    if isinstance(frame, Wants):
+        head = _WANTS.pack(frame.epoch, frame.pool, frame.applied, len(frame.wants))
+        return WANTS, head + b"".join(
+            _text(job) + _WANT.pack(count, left) for job, count, left in frame.wants)
+    if isinstance(frame, Entries):
+        kind, parts = ENTRIES, [_pack_entry(e) for e in frame.entries]
+    else:
+        kind, parts = STATUSES, [_pack_status(s) for s in frame.statuses]
+    head = _PART.pack(frame.epoch, frame.incarnation, frame.before, frame.upto, len(parts))
+    return kind, head + b"".join(parts)
+
+
+def _unpack_share(kind: int, payload: bytes) -> Frame:
+    reader = _Reader(payload)
+    frame: Frame
+    if kind == PULL:
+        frame = Pull(*reader.unpack(_PULL))
+    elif kind == GRANT:
+        epoch, incarnation, number, length, version, dear, applied, count = reader.unpack(_GRANT)
+        shares = []
+        for _ in range(count):
+            member = reader.text()
+            pool, serial, revision, at = reader.unpack(_SHARE)
+            shares.append(Share(pool, member, serial, revision, at))
+        frame = Grant(
+            epoch, incarnation, number, length, version, bool(dear), applied, tuple(shares))
+    elif kind == WANTS:
+        epoch, pool, applied, count = reader.unpack(_WANTS)
+        wants = []
+        for _ in range(count):
+            job = reader.text()
+            tasks, left = reader.unpack(_WANT)
+            wants.append((job, tasks, left))
+        frame = Wants(epoch, pool, applied, tuple(wants))
+    else:
+        epoch, incarnation, before, upto, count = reader.unpack(_PART)
+        if kind == ENTRIES:
+            entries = tuple(_read_entry(reader) for _ in range(count))
+            frame = Entries(epoch, incarnation, before, upto, entries)
+        else:
+            statuses = tuple(_read_status(reader) for _ in range(count))
+            frame = Statuses(epoch, incarnation, before, upto, statuses)
+    reader.end()
+    return frame
 
 
 def pack(frame: Frame) -> bytes:
@@ -93,7 +306,7 @@
     if isinstance(frame, Hello):
         kind, payload = HELLO, frame.member.encode()
     elif isinstance(frame, Beat):
-        kind, payload = BEAT, _BEAT.pack(frame.token, frame.state_age_ms, frame.worker_age_ms)
+        kind, payload = BEAT, _BEAT.pack(frame.token, frame.state_age_ms)
     elif isinstance(frame, Ask):
         kind, payload = ASK, _ASK.pack(frame.token, frame.number)
     elif isinstance(frame, Promise):
@@ -103,6 +316,8 @@
         kind, payload = HANDED, _HANDED.pack(frame.number) + frame.body
     elif isinstance(frame, Answered):
         kind, payload = ANSWERED, _ANSWERED.pack(frame.number, frame.status) + frame.body
+    elif isinstance(frame, Pull | Grant | Entries | Statuses | Wants):
+        kind, payload = _pack_share(frame)
     else:
         kind, parts, size = COUNTS, [], 0
         for job_id, count in frame.running.items():
@@ -128,6 +343,8 @@
             if granted > 1:
                 raise BadFrame("neither yes nor no")
             return Promise(token, number, bool(granted))
+        if PULL <= kind <= WANTS:
+            return _unpack_share(kind, payload)
         if kind == HANDED:
             (number,) = _HANDED.unpack_from(payload)
             return Handed(number, payload[_HANDED.size :])
--- a/src/copperpass/tuning.py
+++ b/src/copperpass/tuning.py
@@ -19,6 +19,7 @@
     silence_reports: float = 2.5
     patience_s: float = 120.0
     keep_scarce_s: float = 300.0
+    part_cpus_per_core: float = 2500.0
     preemption: bool = True
 
 
@@ -28,6 +29,7 @@
     "idle_boots": (0.0, 100.0),
     "patient_boots": (0.0, 100.0),
     "silence_reports": (1.5, 20.0),
+    "part_cpus_per_core": (0.0, 1e9),
     "patience_s": (1.0, 200.0),
     "keep_scarce_s": (0.0, 100_000.0),
 }
--- a/src/copperpass/wire.py
+++ b/src/copperpass/wire.py
@@ -128,6 +128,8 @@
     grace_s: float | None = None
 
 
+# How long a worker waits for an answer, and then before it tries the next node.
+REPORT_WAIT_S, NEXT_NODE_S = 4.0, 1.0
 START, STOP, FORGET = "run", "kill", "clear"
 FETCHING, TASK_RUNNING, SAVING, EXITED = "pulling", "running", "flushing", "exited"
 WHY_DONE, WHY_STOPPED, WHY_ERROR = "done", "halted", "error"
