--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -309,9 +309,10 @@
     assert world.starts == starts and not world.broken
 
 
+@pytest.mark.parametrize("parted", [False, True])
 @pytest.mark.parametrize("seed", range(1, 9))
-def test_random_days_keep_every_rule(seed):
-    world = World(seed=seed)
+def test_random_days_keep_every_rule(seed, parted):
+    world = World(seed=seed, parted=parted)
     rng = random.Random(1000 + seed)
     world.run_until(world.leader)
     number = 0
--- a/tests/world.py
+++ b/tests/world.py
@@ -23,7 +23,7 @@
 }
 
 
-def raw_settings(index=0, nodes=3, lease_s=12.0, cancel_s=40.0):
+def raw_settings(index=0, nodes=3, lease_s=12.0, cancel_s=40.0, cores=1.0):
     names = [f"n{i}" for i in range(nodes)]
     zones = ["a", "b", "c"]
     return {
@@ -49,6 +49,7 @@
             "workers": {"report_s": 1.0, "lease_s": lease_s, "cancel_s": cancel_s},
             "state": {"rps": 200.0, "write_rps": 60.0, "value_kb": 32.0, "txn_ops": 16},
             "cloud": {"rps": 8.0, "list_lag_s": 3.0},
+            "resources": {"cores": cores},
         },
     }
 
@@ -380,7 +381,9 @@
 class World:
     """The clock, the network and the checks of the rules."""
 
-    def __init__(self, seed=1, nodes=3, lease_s=12.0, cancel_s=40.0):
+    def __init__(self, seed=1, nodes=3, lease_s=12.0, cancel_s=40.0, parted=False):
+        # Below a bound on guarantees for each core all teams have one owner.
+        self.cores = 0.01 if parted else 1.0
         self.rng = random.Random(seed)
         self.now, self.queue, self.order = 100.0, [], itertools.count()
         self.lease_s, self.cancel_s = lease_s, cancel_s
@@ -439,7 +442,7 @@
         self.life[name] += 1
         index = self.names.index(name)
         made = settings_module.parse(
-            raw_settings(index, len(self.names), self.lease_s, self.cancel_s))
+            raw_settings(index, len(self.names), self.lease_s, self.cancel_s, self.cores))
         self.nodes[name] = Node(made, self.rng.getrandbits(32), self.now)
         self.tick(name, self.life[name])
 
