--- a/src/copperpass/core/holder.py
+++ b/src/copperpass/core/holder.py
@@ -106,12 +106,16 @@
                 owner.begin(now)
             owner.dear_excess = self.dear_excess
             owner.tick(now)
-        if now >= self.next_status and self.entitled(now):
+        if (now >= self.next_status or any(o.parting for o in self.owners.values())) and (
+            self.entitled(now)
+        ):
             self.next_status = now + self.pull_s / 4
             self._tell(now)
-        if now >= self.next_wants and self.entitled(now):
+        urgent = any(owner.wanting for owner in self.owners.values())
+        if (now >= self.next_wants or urgent) and self.entitled(now):
             self.next_wants = now + self.plan_s
             for number, owner in self.owners.items():
+                owner.wanting = False
                 if owner.ready:
                     self._send(now, peer.Wants(
                         self.epoch, number, self.inbox.applied, tuple(owner.wants(now)[:500])))
@@ -135,6 +139,7 @@
 
     def _tell(self, now: float) -> None:
         for owner in self.owners.values():
+            owner.parting = False
             for status in owner.statuses(now):
                 self.table.put(status)
         while self.feed.sent < self.table.seq:
--- a/src/copperpass/core/landlord.py
+++ b/src/copperpass/core/landlord.py
@@ -143,6 +143,7 @@
         self.boot_s = max((t.boot_s for t in types.values()), default=20.0)
         self.peak = rental.Peak(tuning.warm_window_boots * self.boot_s)
         self.cheap_peak = rental.Peak(tuning.cheap_window_boots * self.boot_s)
+        self.peaks = {n: rental.Peak(tuning.warm_window_boots * self.boot_s) for n in self.pools}
         self.calls = Budget(0.9 * cluster.cloud.rps, max(1.8 * cluster.cloud.rps, 2.0))
         self.dear_excess = True
         self.allocations: allocation.Allocation | None = None
@@ -241,7 +242,7 @@
 
     def _disown(self, now: float, pool: Pool, free_at: float) -> None:
         """A pool has lost its owner: every machine of it needs a higher token."""
-        self.out.log("info", "pool without owner", pool=pool.number, member=pool.owner)
+        self.out.log("info", "pool without owner", pool=pool.number, owner=pool.owner)
         pool.owner, pool.revision, pool.free_at = "", UNKNOWN_REVISION, free_at
         pool.wants, pool.reading = [], False
         for held in list(self.machines.values()):
@@ -292,7 +293,7 @@
                 pool.revision = self.token_version()
             else:
                 self._read_revision(now, pool)
-            self.out.log("info", "pool given", pool=pool.number, member=chosen, serial=pool.serial)
+            self.out.log("info", "pool given", pool=pool.number, owner=chosen, serial=pool.serial)
 
     def _read_revision(self, now: float, pool: Pool) -> None:
         """Learn a revision that is certainly after all that the last owner can have seen."""
@@ -373,6 +374,9 @@
         jobs = self.jobs.jobs
         pool.wants = [(jobs[j], n, left) for j, n, left in wants.wants if j in jobs]
         pool.wants_at = now
+        if pool.wants and len(self.pools) > 1 and self.ready:
+            # Idle machines of others can serve at once; renting waits for the next plan.
+            self._serve_wants(now, pool, self._serving(), {}, {}, rent=False)
 
     # -- machines that nobody owns ----------------------------------------------------------
 
@@ -480,6 +484,8 @@
         limit = sum(t.cpus_max for t in self.cluster.teams)
         self.peak.add(now, min(total, limit))
         self.cheap_peak.add(now, min(total, limit))
+        for number, cpus in tight.items():
+            self.peaks[number].add(now, cpus)
         warm = rental.Warm(self.peak.value(), self.cheap_peak.value())
         serving = self._serving()
         room = sum(h.type.cpus for h in serving)
@@ -493,7 +499,8 @@
                 zones[held.entry.zone] = zones.get(held.entry.zone, 0) + 1
             for pool in order:
                 self._serve_wants(now, pool, serving, wanted, zones)
-            self._keep_warm(now, warm, tight, room, wanted, zones)
+            self._keep_warm(now, warm, serving, room, wanted, zones)
+            self._balance(now, serving)
             for (place, number), count in wanted.items():
                 if not any(p == place for p, _, _ in self.renting.values()):
                     self._rent(now, place, min(count, 50), number)
@@ -542,7 +549,7 @@
 
     def _serve_wants(
         self, now: float, pool: Pool, serving: list[Held],
-        wanted: dict[tuple[Place, int], int], zones: dict[str, int],
+        wanted: dict[tuple[Place, int], int], zones: dict[str, int], rent: bool = True,
     ) -> None:
         """Find room for what a pool's owner has none for: idle machines first, then new ones."""
         if now - pool.wants_at > 2 * self.report_s:
@@ -577,7 +584,7 @@
                     rooms.append(room)
                     spare.remove(held)
                     self._ask_back(now, held, pool.number)
-            while left > 0 and sum(wanted.values()) < 50 and not self.roster.full():
+            while rent and left > 0 and sum(wanted.values()) < 50 and not self.roster.full():
                 place = rental.choose_place(
                     spec, left, self.types, zones, self.refusals, now, patient, closed)
                 if place is None:
@@ -590,7 +597,7 @@
                 rooms.append(room)
                 zones[place[1]] = zones.get(place[1], 0) + 1
                 wanted[(place, pool.number)] = wanted.get((place, pool.number), 0) + 1
-            if left > 0 and job.guaranteed and horizon <= self.boot_s:
+            if rent and left > 0 and job.guaranteed and horizon <= self.boot_s:
                 self._reclaim(now, pool, job, left, serving)
 
     def _reclaim(
@@ -613,13 +620,13 @@
                     self._ask_back(now, held, pool.number, vacate=True)
 
     def _keep_warm(
-        self, now: float, warm: rental.Warm, tight: dict[int, float], room: float,
+        self, now: float, warm: rental.Warm, serving: list[Held], room: float,
         wanted: dict[tuple[Place, int], int], zones: dict[str, int],
     ) -> None:
         total = room + sum(self.types[p[0]].cpus * n for p, n, _ in self.renting.values())
         total += sum(self.types[place[0]].cpus * n for (place, _), n in wanted.items())
         dear = {name for names in self.scarce.seen for name in names}
-        number = max(tight, key=lambda n: tight[n])
+        lacking = self._lacking(serving)
         for cpus, spot_only in ((warm.any, False), (warm.cheap, True)):
             while total < cpus and sum(wanted.values()) < 50 and not self.roster.full():
                 place = rental.choose_place(
@@ -627,9 +634,41 @@
                 if place is None:
                     break
                 total += self.types[place[0]].cpus
+                number = max(lacking, key=lambda n: lacking[n])
+                lacking[number] -= self.types[place[0]].cpus
                 zones[place[1]] = zones.get(place[1], 0) + 1
                 wanted[(place, number)] = wanted.get((place, number), 0) + 1
 
+    def _lacking(self, serving: list[Held]) -> dict[int, float]:
+        """CPUs by which each pool's machines fall short of its own peak of urgent demand."""
+        lacking = {n: peak.value() for n, peak in self.peaks.items()}
+        for held in serving:
+            number = held.entry.pool
+            if held.entry.back and held.back_for is not None:
+                number = held.back_for
+            if number in lacking:
+                lacking[number] -= held.type.cpus
+        for place, count, number in self.renting.values():
+            lacking[number] -= self.types[place[0]].cpus * count
+        return lacking
+
+    def _balance(self, now: float, serving: list[Held]) -> None:
+        """Move idle machines to pools that fall short of their peaks, before they ask."""
+        if len(self.pools) == 1:
+            return
+        lacking = self._lacking(serving)
+        scarce = {name for names in self.scarce.seen for name in names}
+        for held in serving:
+            short = max(lacking, key=lambda n: lacking[n])
+            own = held.entry.pool
+            if lacking[short] < held.type.cpus:
+                break
+            spare = held.spare and not held.entry.back and own in lacking and own != short
+            if spare and held.type.name not in scarce and lacking[own] + held.type.cpus <= 0:
+                lacking[own] += held.type.cpus
+                lacking[short] -= held.type.cpus
+                self._ask_back(now, held, short)
+
     def _return_idle(self, now: float, warm: rental.Warm) -> None:
         """Ask back the dearest idle machines beyond the warm room."""
         serving = self._serving()
--- a/src/copperpass/core/node.py
+++ b/src/copperpass/core/node.py
@@ -176,11 +176,16 @@
         linked = owner is not None and self._linked(now, owner)
         if owner is not None and linked and self.relay.hands_on(now, name):
             self.relay.hand_on(now, request, body, owner)
-        else:
-            self.out.replies.append(Reply(request, 421, wire.referral(owner)))
+            return
+        if owner is not None and not linked:
+            # The worker would hardly fare better: another member may reach the owner.
+            owner = next((m for m in self.authority.others
+                          if m != owner and self._linked(now, m)), None)
+        self.out.replies.append(Reply(request, 421, wire.referral(owner)))
 
     def _linked(self, now: float, member: str) -> bool:
-        return now - self.peer_heard.get(member, float("-inf")) < self.ttl
+        """Whether a member's beats, four in a promise's length, come in."""
+        return now - self.peer_heard.get(member, float("-inf")) < self.times.promise
 
     def _unowned(self, now: float, report: wire.Report) -> str | None:
         """Where a machine should go that nobody is known to command."""
--- a/src/copperpass/core/owner.py
+++ b/src/copperpass/core/owner.py
@@ -70,6 +70,9 @@
         self.ready = False
         # Set when the ownership has passed: answers that come later must not touch the jobs.
         self.over = False
+        # What the leader should be told at once: tasks in need of machines, machines given back.
+        self.wanting = self.parting = False
+        self.urgent: set[str] = set()
         self.machines: dict[str, Machine] = {}
         self.unsettled: set[str] = set()
         # Machines of other pools where tasks of this pool may be, by the leader's word.
@@ -85,7 +88,7 @@
         # A worker that loses its way is back, over another node, after this long at most: to delete
         # its machine sooner would cost its tasks.
         self.lost_s = max(
-            1.5 * self.silence, self.report_s + wire.REPORT_WAIT_S + 2 * wire.NEXT_NODE_S)
+            1.5 * self.silence, 1.25 * self.report_s + wire.REPORT_WAIT_S + 3 * wire.NEXT_NODE_S)
         self.last_report = now
         self.allocations: allocation.Allocation | None = None
         self.recent: dict[str, deque[tuple[float, float, float]]] = {
@@ -193,7 +196,7 @@
         del self.machines[machine.name]
         self.unsettled.discard(machine.name)
         self.given[machine.name] = last
-        self.dirty = True
+        self.parting = self.dirty = True
 
     def _gone(self, now: float, machine: Machine) -> None:
         """The cloud has confirmed: the machine and all on it are gone."""
@@ -221,7 +224,8 @@
             spec, count = job.spec, job.waiting()
             room = self.by_team[spec.team].cpus_max - demand[spec.team]
             demand[spec.team] += len(job.placed) * spec.cpus
-            if count <= 0 or now < job.hold_until or len(job.failed_on) >= 3:
+            # Tasks that may be running where we have not looked yet need no machines.
+            if count <= 0 or len(job.failed_on) >= 3 or not self._startable(job, now):
                 continue
             demand[spec.team] += count * spec.cpus
             if spec.cpus > 0:
@@ -672,22 +676,11 @@
             if ended and (machine.tasks or machine.name in self.unsettled):
                 self.out.log("info", "lease over", machine=machine.name)
                 self._session_over(now, machine)
-            if ended and not machine.up and machine.recorded:
-                # Known by its record alone and silent for a whole lease: it is gone, or cut off
-                # with nothing on it. Its record would hold up the next change of leader too.
-                machine.releasing = True
-            quiet = now - machine.contact
-            if machine.up and quiet > self.lost_s and (
-                silent * 3 <= len(up) or quiet > self.lease_s
-            ):
-                # A silent machine among speaking ones: have the cloud end it, which frees its
-                # tasks sooner than its lease would.
-                machine.releasing = True
-            if machine.up and not machine.settled and now - machine.up_at > self.lease_s:
-                # It speaks, but for a whole lease no answer has reached it: its session is over
-                # by then, and a machine that can be commanded is worth more.
-                machine.releasing = True
-            if machine.fenced and machine.empty():
+            if machine.releasing:
+                continue
+            why = self._hopeless(now, machine, ended, silent * 3 <= len(up))
+            if why:
+                self.out.log("info", "machine given up", machine=machine.name, why=why)
                 machine.releasing = True
         for job in self.mine():
             # Also a job all of whose ends an earlier owner stored without ending it.
@@ -695,6 +688,23 @@
                 self._store(now, job)
         self.dirty = True
 
+    def _hopeless(self, now: float, machine: Machine, ended: bool, few: bool) -> str:
+        """Why a machine should be deleted, if it should; `few`: most others can be heard."""
+        quiet = now - machine.contact
+        if ended and not machine.up and machine.recorded:
+            # Known by its record alone and silent for a whole lease: it is gone, or cut off with
+            # nothing on it. Its record would hold up the next change of leader too.
+            return "never heard"
+        if machine.up and quiet > self.lost_s and (few or quiet > self.lease_s):
+            # A silent machine among speaking ones: have the cloud end it, which frees its tasks
+            # sooner than its lease would.
+            return "silent"
+        if machine.up and not machine.settled and now - machine.up_at > self.lease_s:
+            # It speaks, but for a whole lease no answer has reached it: its session is over by
+            # then, and a machine that can be commanded is worth more.
+            return "deaf"
+        return "sick" if machine.fenced and machine.empty() else ""
+
     # -- dispatch ------------------------------------------------------------------------
 
     def _usage(self) -> dict[str, tuple[float, float]]:
@@ -832,6 +842,9 @@
             running[name] += 1
         for machine in touched.values():
             self._send_direct(now, machine)
+        urgent = {j.spec.id for j in stuck if self.aims.due(j, now) - now < self.boot_s}
+        self.wanting = bool(urgent - self.urgent)
+        self.urgent = urgent
         if stuck and self.tuning.preemption:
             self._preempt(now, stuck, usable, used)
         # The next round comes sooner when idle and later under load: a batch widens with it.
