--- a/src/copperpass/core/landlord.py
+++ b/src/copperpass/core/landlord.py
@@ -329,6 +329,10 @@
         return pool.owner if pool is not None else ""
 
     def _take(self, now: float, held: Held, status: Status) -> None:
+        if held.status.up and not status.up:
+            # A new owner has not heard it yet; that doesn't make it one that never came up, which
+            # would be deleted with all that runs there.
+            status = replace(status, up=True)
         if status.up and not held.status.up:
             held.up_at = held.idle_since = now
             self.roster.came_up(now, held.entry.name, self._place(held))
