--- a/src/copperpass/core/landlord.py
+++ b/src/copperpass/core/landlord.py
@@ -31,6 +31,7 @@
 Place = rental.Place
 # The length of a grant, as a part of the leader key's life.
 GRANT_PER_TTL = 0.6
+POOL_WINDOW = 2.4
 UNKNOWN_REVISION = (1 << 62) - 1
 
 
@@ -143,7 +144,9 @@
         self.boot_s = max((t.boot_s for t in types.values()), default=20.0)
         self.peak = rental.Peak(tuning.warm_window_boots * self.boot_s)
         self.cheap_peak = rental.Peak(tuning.cheap_window_boots * self.boot_s)
-        self.peaks = {n: rental.Peak(tuning.warm_window_boots * self.boot_s) for n in self.pools}
+        # A pool's own peak is kept for longer: the fewer its jobs, the more they vary.
+        window = POOL_WINDOW * tuning.warm_window_boots * self.boot_s
+        self.peaks = {n: rental.Peak(window) for n in self.pools}
         self.calls = Budget(0.9 * cluster.cloud.rps, max(1.8 * cluster.cloud.rps, 2.0))
         self.dear_excess = True
         self.allocations: allocation.Allocation | None = None
@@ -568,6 +571,7 @@
         spare = [h for h in serving if h.spare and h.entry.pool != pool.number
                  and not h.entry.back and h.entry.pool != UNPOOLED]
         spare.sort(key=lambda h: dispatch.price_of(h.type, h.entry.spot) / h.type.cpus)
+        lacking = self._lacking(serving)
         for job, count, horizon in pool.wants:
             spec = job.spec
             closed = self.scarce.closed_to(spec)
@@ -577,14 +581,17 @@
             for held in list(spare):
                 if left <= 0:
                     break
-                if held.type.name in closed or (
+                own = held.entry.pool
+                if held.type.name in closed or lacking[own] + held.type.cpus > 0 or (
                     patient and self.dear_excess and not held.entry.spot
                 ):
+                    # Also what its pool keeps for its own peaks.
                     continue
                 room = rental.new_room(held.type, self._place(held))
                 taken = room.take(spec, left, horizon)
                 if taken > 0:
                     left -= taken
+                    lacking[own] += held.type.cpus
                     rooms.append(room)
                     spare.remove(held)
                     self._ask_back(now, held, pool.number)
@@ -601,6 +608,16 @@
                 rooms.append(room)
                 zones[place[1]] = zones.get(place[1], 0) + 1
                 wanted[(place, pool.number)] = wanted.get((place, pool.number), 0) + 1
+            if rent and left > 0 and horizon <= self.boot_s:
+                # Nothing can be rented: what others keep for later serves who needs it now.
+                for held in spare:
+                    if left > 0 and held.type.name not in closed:
+                        taken = rental.new_room(held.type, self._place(held)).take(
+                            spec, left, horizon)
+                        if taken > 0:
+                            left -= taken
+                            self._ask_back(now, held, pool.number)
+                spare = [h for h in spare if not h.entry.back]
             if rent and left > 0 and job.guaranteed and horizon <= self.boot_s:
                 self._reclaim(now, pool, job, left, serving)
 
