--- a/src/copperpass/core/landlord.py
+++ b/src/copperpass/core/landlord.py
@@ -383,6 +383,8 @@
         pool.wants_at = now
         if pool.wants and len(self.pools) > 1 and self.ready:
             # Idle machines of others can serve at once; renting waits for the next plan.
+            _, tight = self._demand(now)
+            self.peaks[pool.number].add(now, tight[pool.number])
             self._serve_wants(now, pool, self._serving(), {}, {}, rent=False)
 
     # -- machines that nobody owns ----------------------------------------------------------
@@ -571,7 +573,7 @@
         spare = [h for h in serving if h.spare and h.entry.pool != pool.number
                  and not h.entry.back and h.entry.pool != UNPOOLED]
         spare.sort(key=lambda h: dispatch.price_of(h.type, h.entry.spot) / h.type.cpus)
-        lacking = self._lacking(serving)
+        cover = self._cover(serving)
         for job, count, horizon in pool.wants:
             spec = job.spec
             closed = self.scarce.closed_to(spec)
@@ -582,16 +584,15 @@
                 if left <= 0:
                     break
                 own = held.entry.pool
-                if held.type.name in closed or lacking[own] + held.type.cpus > 0 or (
+                if held.type.name in closed or (
                     patient and self.dear_excess and not held.entry.spot
-                ):
-                    # Also what its pool keeps for its own peaks.
+                ) or not cover.may_lend(own, pool.number, held.type.cpus):
                     continue
                 room = rental.new_room(held.type, self._place(held))
                 taken = room.take(spec, left, horizon)
                 if taken > 0:
                     left -= taken
-                    lacking[own] += held.type.cpus
+                    cover.move(own, pool.number, held.type.cpus)
                     rooms.append(room)
                     spare.remove(held)
                     self._ask_back(now, held, pool.number)
@@ -647,7 +648,7 @@
         total = room + sum(self.types[p[0]].cpus * n for p, n, _ in self.renting.values())
         total += sum(self.types[place[0]].cpus * n for (place, _), n in wanted.items())
         dear = {name for names in self.scarce.seen for name in names}
-        lacking = self._lacking(serving)
+        cover = self._cover(serving)
         for cpus, spot_only in ((warm.any, False), (warm.cheap, True)):
             while total < cpus and sum(wanted.values()) < 50 and not self.roster.full():
                 place = rental.choose_place(
@@ -655,39 +656,39 @@
                 if place is None:
                     break
                 total += self.types[place[0]].cpus
-                number = max(lacking, key=lambda n: lacking[n])
-                lacking[number] -= self.types[place[0]].cpus
+                number = cover.least()
+                cover.have[number] += self.types[place[0]].cpus
                 zones[place[1]] = zones.get(place[1], 0) + 1
                 wanted[(place, number)] = wanted.get((place, number), 0) + 1
 
-    def _lacking(self, serving: list[Held]) -> dict[int, float]:
-        """CPUs by which each pool's machines fall short of its own peak of urgent demand."""
-        lacking = {n: peak.value() for n, peak in self.peaks.items()}
+    def _cover(self, serving: list[Held]) -> rental.Cover:
+        """How far each pool's machines, with those on their way, cover its urgent peak."""
+        have = dict.fromkeys(self.pools, 0.0)
         for held in serving:
             number = held.entry.pool
             if held.entry.back and held.back_for is not None:
                 number = held.back_for
-            if number in lacking:
-                lacking[number] -= held.type.cpus
+            if number in have:
+                have[number] += held.type.cpus
         for place, count, number in self.renting.values():
-            lacking[number] -= self.types[place[0]].cpus * count
-        return lacking
+            have[number] += self.types[place[0]].cpus * count
+        return rental.Cover(have, {n: peak.value() for n, peak in self.peaks.items()})
 
     def _balance(self, now: float, serving: list[Held]) -> None:
-        """Move idle machines to pools that fall short of their peaks, before they ask."""
+        """Move idle machines to the pool whose peak is covered least, before it asks."""
         if len(self.pools) == 1:
             return
-        lacking = self._lacking(serving)
+        cover = self._cover(serving)
         scarce = {name for names in self.scarce.seen for name in names}
         for held in serving:
-            short = max(lacking, key=lambda n: lacking[n])
-            own = held.entry.pool
-            if lacking[short] < held.type.cpus:
+            short, own = cover.least(), held.entry.pool
+            if cover.of(short) >= 1.0:
                 break
-            spare = held.spare and not held.entry.back and own in lacking and own != short
-            if spare and held.type.name not in scarce and lacking[own] + held.type.cpus <= 0:
-                lacking[own] += held.type.cpus
-                lacking[short] -= held.type.cpus
+            spare = held.spare and not held.entry.back and own in cover.have and own != short
+            if spare and held.type.name not in scarce and (
+                cover.may_lend(own, short, held.type.cpus)
+            ):
+                cover.move(own, short, held.type.cpus)
                 self._ask_back(now, held, short)
 
     def _return_idle(self, now: float, warm: rental.Warm) -> None:
--- a/src/copperpass/core/rental.py
+++ b/src/copperpass/core/rental.py
@@ -66,6 +66,31 @@
     cheap: float
 
 
+@dataclass(slots=True)
+class Cover:
+    """How far the CPUs that pools have cover what they need at their peaks."""
+
+    have: dict[int, float]
+    need: dict[int, float]
+
+    def of(self, number: int, more: float = 0.0) -> float:
+        """A pool's cover with some CPUs more."""
+        return (self.have[number] + more) / max(self.need[number], 1e-3)
+
+    def least(self) -> int:
+        """The pool that is covered least."""
+        return min(self.have, key=lambda n: (self.of(n), n))
+
+    def may_lend(self, lender: int, borrower: int, cpus: float) -> bool:
+        """Whether the lender stays covered at least as far as the borrower was."""
+        return self.of(lender, -cpus) >= self.of(borrower)
+
+    def move(self, lender: int, borrower: int, cpus: float) -> None:
+        """Note that CPUs pass from one to the other."""
+        self.have[lender] -= cpus
+        self.have[borrower] += cpus
+
+
 @dataclass(slots=True)
 class Room:
     """What a machine offers to tasks that wait, now or within their horizon."""
