--- a/src/copperpass/core/authority.py
+++ b/src/copperpass/core/authority.py
@@ -54,7 +54,7 @@
 def times_of(cluster: Cluster) -> Times:
     """The lengths as ratios of the workers' figures."""
     lease, cancel = cluster.workers.lease_s, cluster.workers.cancel_s
-    ttl = 0.28 * lease
+    ttl = 0.22 * lease
     times = Times(ttl, 0.35 * ttl, max(0.0, 0.95 * (cancel - 1.01 * lease)), lease, cancel)
     times.check()
     return times
--- a/src/copperpass/core/holder.py
+++ b/src/copperpass/core/holder.py
@@ -13,7 +13,7 @@
 from copperpass.core.ports import Outbox
 
 # Entries to a frame: some 70 bytes each.
-BATCH = 400
+BATCH = 200
 PULLS_PER_GRANT = 6
 MakeOwner = Callable[[peer.Share], Owner]
 
--- a/src/copperpass/core/landlord.py
+++ b/src/copperpass/core/landlord.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 
 from copperpass import peer, wire
@@ -106,6 +106,7 @@
         hints: dict[str, Entry],
         owners: dict[int, str],
         incarnation: int,
+        linked: Callable[[float, str], bool],
         now: float,
         tuning: Tuning,
     ) -> None:
@@ -116,6 +117,7 @@
         self.pool_of = pools
         # What the term before knew: whose each machine was, and who owned which pool.
         self.hints, self.owners = hints, owners
+        self.linked = linked
         self.won_at = now
         self.grant_s = GRANT_PER_TTL * authority.ttl
         self.report_s = cluster.workers.report_s
@@ -272,10 +274,11 @@
 
     def _share_out(self, now: float) -> None:
         """Give pools without an owner to live members, those with the fewest first."""
-        expected = 1 + len(self.authority.others)
         live = self._live(now)
         early = now - self.won_at < 0.5 * self.grant_s
-        if len(self.pools) > 1 and len(live) < expected and early:
+        coming = any(m not in live and self.linked(now, m) for m in self.authority.others)
+        if len(self.pools) > 1 and coming and early:
+            # Members whose beats come in will pull in a moment.
             return
         for pool in self.pools.values():
             if pool.owner or now < pool.free_at or not self.ready:
--- a/src/copperpass/core/node.py
+++ b/src/copperpass/core/node.py
@@ -286,7 +286,7 @@
         owned = {**holder.owned_before, **{n: s.member for n, s in holder.shares.items()}}
         self.landlord = Landlord(
             self.cluster, self.out, self.ledger, self.jobs, self.types, self.authority, self.fleet,
-            self.pools, hints, owned, holder.incarnation, now, self.tuning)
+            self.pools, hints, owned, holder.incarnation, self._linked, now, self.tuning)
         holder.lead(self.landlord)
 
     def _make_owner(self, share: peer.Share) -> Owner:
--- a/src/copperpass/peer.py
+++ b/src/copperpass/peer.py
@@ -24,8 +24,8 @@
 NEVER = 0xFFFFFFFF
 _HANDED = struct.Struct("!I")
 _ANSWERED = struct.Struct("!IH")
-# A report or its answer may have 64 KiB; nothing else comes near it.
-MAX_PAYLOAD = 0x11000
+# A report or its answer may have 64 KiB, a batch of table entries some 20 KiB as a rule.
+MAX_PAYLOAD = 1 << 18
 
 
 class BadFrame(Exception):
