--- a/src/copperpass/core/dispatch.py
+++ b/src/copperpass/core/dispatch.py
@@ -116,28 +116,23 @@
     machines: dict[str, Machine],
     avoid: set[str],
     now: float,
-    scarce: Scarce,
+    scarce: set[str],
     cheap_only: bool,
     tight: bool,
 ) -> Machine | None:
     """The machine that has the image, is cheap, and has the least room left.
 
-    Types that are scarce leave room for larger tasks. Cheap machines first: then the dear ones
-    fall idle in a lull and can go back. Where time is tight, no fetch comes before a low price.
+    Types in `scarce` are for larger tasks only. Cheap machines first: then the dear ones fall idle
+    in a lull and can go back. Where time is tight, no fetch comes before a low price.
     """
     best: Machine | None = None
     best_score: tuple[float, ...] = ()
     spec = job.spec
-    closed = scarce.closed_to(spec)
     for machine in usable:
         if not machine.has_room(spec) or not allows(spec, machine.type, machine.zone, machine.spot):
             continue
-        if cheap_only and not machine.spot:
+        if (cheap_only and not machine.spot) or machine.type.name in scarce:
             continue
-        if machine.type.name in closed:
-            kept = scarce.kept(machine.type.name)
-            if kept is None or not machine.has_room(spec, *kept):
-                continue
         if machine.held_from(spec.id, now):
             # Room that was freed by stopping tasks is for the job they were stopped for.
             continue
@@ -171,34 +166,25 @@
     """Types that large tasks depend on, because they fit no other.
 
     Small tasks that fit elsewhere would take each gap on them, and a large task then waits for all
-    of them at once. So while large tasks are about, small ones may take only what leaves room for a
-    large one on the machine, and nothing while a large one waits. None is rented for small ones.
+    of them at once. So such a type is kept from small tasks for as long as large ones are about.
     """
 
     def __init__(self, types: dict[str, wire.MachineType], keep_s: float) -> None:
         self.types, self.keep_s = types, keep_s
         self.seen: dict[frozenset[str], tuple[float, wire.Spec]] = {}
-        self.waiting: set[str] = set()
         self.cache: dict[tuple[float, float, float], set[str]] = {}
 
     def note(self, now: float, jobs: Iterable[Job]) -> None:
         """Take in the jobs that are about."""
         before = set(self.seen)
         shapes: dict[tuple[float, float, float], wire.Spec] = {}
-        waits: set[tuple[float, float, float]] = set()
         for job in jobs:
             spec = job.spec
-            shape = (spec.cpus, spec.gpus, spec.memory_gb)
-            shapes.setdefault(shape, spec)
-            if job.waiting() > 0:
-                waits.add(shape)
-        self.waiting = set()
-        for shape, spec in shapes.items():
+            shapes.setdefault((spec.cpus, spec.gpus, spec.memory_gb), spec)
+        for spec in shapes.values():
             fitting = self.fitting(spec)
             if 0 < len(fitting) < len(self.types):
                 self.seen[fitting] = (now, spec)
-                if shape in waits:
-                    self.waiting |= fitting
         self.seen = {k: v for k, v in self.seen.items() if now - v[0] <= self.keep_s}
         if set(self.seen) != before:
             self.cache.clear()
@@ -207,16 +193,6 @@
         """The types that one task fits."""
         return frozenset(t.name for t in self.types.values() if type_fits(spec, t))
 
-    def kept(self, type_name: str) -> tuple[float, float, float] | None:
-        """CPUs, GPUs and memory that small tasks leave free; None: they take nothing."""
-        if type_name in self.waiting:
-            return None
-        large = [spec for names, (_, spec) in self.seen.items() if type_name in names]
-        if not large:
-            return 0.0, 0.0, 0.0
-        return (max(s.cpus for s in large), max(s.gpus for s in large),
-                max(s.memory_gb for s in large))
-
     def closed_to(self, spec: wire.Spec) -> set[str]:
         """The types that are kept from a job's tasks."""
         shape = (spec.cpus, spec.gpus, spec.memory_gb)
--- a/src/copperpass/core/fleet.py
+++ b/src/copperpass/core/fleet.py
@@ -131,15 +131,10 @@
             self.type.memory_gb - self.used_memory,
         )
 
-    def has_room(
-        self, spec: wire.Spec, cpus: float = 0.0, gpus: float = 0.0, memory: float = 0.0
-    ) -> bool:
-        """Whether a task fits now and leaves this much free."""
-        room = self.room()
-        return (
-            fits(spec.cpus + cpus, room[0]) and fits(spec.gpus + gpus, room[1])
-            and fits(spec.memory_gb + memory, room[2])
-        )
+    def has_room(self, spec: wire.Spec) -> bool:
+        """Whether a task fits now."""
+        cpus, gpus, memory = self.room()
+        return fits(spec.cpus, cpus) and fits(spec.gpus, gpus) and fits(spec.memory_gb, memory)
 
     def touch_image(self, image: str, size: float) -> None:
         """Note that the machine has, or will have, an image; forget the oldest beyond its cache."""
--- a/src/copperpass/core/landlord.py
+++ b/src/copperpass/core/landlord.py
@@ -580,7 +580,7 @@
         for job, count, horizon in pool.wants:
             spec = job.spec
             closed = self.scarce.closed_to(spec)
-            left = rental.fill(rooms, spec, count, horizon, self.scarce)
+            left = rental.fill(rooms, spec, count, horizon, closed)
             # Work that can wait for longer than a boot asks only for the cheap kind at first.
             patient = horizon > self.tuning.patient_boots * self.boot_s and spec.spot
             for held in list(spare):
--- a/src/copperpass/core/owner.py
+++ b/src/copperpass/core/owner.py
@@ -231,7 +231,7 @@
             if spec.cpus > 0:
                 count = min(count, max(0, int(room / spec.cpus)))
             horizon = max(0.0, self.aims.due(job, now) - now)
-            left = rental.fill(rooms, spec, count, horizon, self.scarce)
+            left = rental.fill(rooms, spec, count, horizon, self.scarce.closed_to(spec))
             if left > 0:
                 unmet.append((spec.id, left, horizon))
         return unmet
@@ -815,13 +815,13 @@
             can_wait = slack > self.tuning.patient_boots * self.boot_s
             patient = self.dear_excess and spec.spot and can_wait
             if not over:
-                tight = slack < self.boot_s
+                closed, tight = self.scarce.closed_to(spec), slack < self.boot_s
                 machine = dispatch.best_machine(
-                    job, roomy, self.machines, job.failed_on, now, self.scarce, patient, tight
+                    job, roomy, self.machines, job.failed_on, now, closed, patient, tight
                 )
                 if machine is None and job.failed_on:
                     machine = dispatch.best_machine(
-                        job, roomy, self.machines, set(), now, self.scarce, patient, tight
+                        job, roomy, self.machines, set(), now, closed, patient, tight
                     )
             if machine is None:
                 order[name].pop(0)
--- a/src/copperpass/core/rental.py
+++ b/src/copperpass/core/rental.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from copperpass import wire
-from copperpass.core.dispatch import Scarce, price_of, remaining
+from copperpass.core.dispatch import price_of, remaining
 from copperpass.core.fleet import Machine, allows, type_fits
 
 Place = tuple[str, str, bool]
@@ -192,23 +192,14 @@
 
 
 def fill(
-    rooms: list[Room], spec: wire.Spec, count: int, horizon: float, scarce: Scarce
+    rooms: list[Room], spec: wire.Spec, count: int, horizon: float, closed: set[str]
 ) -> int:
     """Give room to tasks that may start within the horizon; returns how many are left."""
-    closed = scarce.closed_to(spec)
     for room in rooms:
         if count <= 0:
             break
         if room.type.name not in closed:
             count -= room.take(spec, count, horizon)
-            continue
-        kept = scarce.kept(room.type.name)
-        if kept is not None:
-            room.cpus, room.gpus, room.memory = (
-                room.cpus - kept[0], room.gpus - kept[1], room.memory - kept[2])
-            count -= room.take(spec, count, horizon)
-            room.cpus, room.gpus, room.memory = (
-                room.cpus + kept[0], room.gpus + kept[1], room.memory + kept[2])
     return count
 
 
