Work without aims comes last until overdue, then first with at most half of the room

Change: such work comes last until it is overdue; then first, while overdue work has at most LATE_PART of the pool's room. Half is kept, for the rule that half of a class is served.

--- a/src/copperpass/core/dispatch.py
+++ b/src/copperpass/core/dispatch.py
@@ -9,6 +9,8 @@
 from copperpass.core.jobs import Job, fits
 from copperpass.settings import Objective
 
+LATE = 1e6
+
 
 class Aims:
     """The users' aims, by class."""
@@ -49,7 +51,29 @@
         ahead = [m for m in moments if m >= now]
         if ahead:
             return min(ahead)
-        return job.arrived + self.patience_s
+        # Without an aim, or with none left, it comes last until it has waited for too long.
+        overdue = job.arrived + self.patience_s
+        return overdue if now > overdue else job.arrived + LATE
+
+    def overdue(self, job: Job, now: float) -> bool:
+        """Whether no aim can be met any more and the job has waited for longer than it should."""
+        return now > job.arrived + self.patience_s and self.due(job, now) < now
+
+
+def share_late(
+    queue: list[Job], aims: Aims, now: float, used: float, quota: float
+) -> None:
+    """Put overdue work, which comes first, behind the rest while it has its part of the room.
+
+    Without a bound on its part, work that has no aim, or none left, would take all room from work
+    that can still be in time; without any part, it would starve.
+    """
+    if used < quota or not queue:
+        return
+    late = [job for job in queue if aims.overdue(job, now)]
+    if late and len(late) < len(queue):
+        behind = {job.spec.id for job in late}
+        queue[:] = [job for job in queue if job.spec.id not in behind] + late
 
 
 def judge_guarantees(jobs: Iterable[Job], guarantees: dict[str, float]) -> None:
--- a/src/copperpass/core/owner.py
+++ b/src/copperpass/core/owner.py
@@ -28,6 +28,8 @@
 # Attempts are told apart by term, then by ownership within the term, then counted.
 EPOCH_SHIFT, SERIAL_SHIFT = 44, 28
 GHOST = "?"
+# The part of a pool's room that overdue work gets before work that can still be in time.
+LATE_PART = 0.5
 Images = dict[str, "OrderedDict[str, float]"]
 
 
@@ -783,6 +785,11 @@
         order = {
             name: dispatch.task_order(q, self.aims, now, bonus) for name, q in queues.items()
         }
+        late_used = sum(
+            len(job.placed) * job.spec.cpus for job in jobs if self.aims.overdue(job, now))
+        late_quota = LATE_PART * capacity[0]
+        for queue in order.values():
+            dispatch.share_late(queue, self.aims, now, late_used, late_quota)
         smallest = min((j.spec.cpus for j in jobs if j.spec.cpus > 0), default=0.0)
         roomy = [m for m in usable if fits(smallest, m.room()[0])]
         holding: set[str] = set()
@@ -837,6 +844,9 @@
                         held.held_for, held.held_until = spec.id, now + self.report_s
                 continue
             self._start(now, job, index, machine)
+            if self.aims.overdue(job, now):
+                late_used += spec.cpus
+                dispatch.share_late(order[name], self.aims, now, late_used, late_quota)
             touched[machine.name] = machine
             used[name] = (used[name][0] + spec.cpus, used[name][1] + spec.gpus)
             running[name] += 1
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -5,7 +5,7 @@
 import pytest
 
 from copperpass import wire
-from copperpass.core.dispatch import Aims, Scarce, task_order
+from copperpass.core.dispatch import Aims, Scarce, share_late, task_order
 from copperpass.core.jobs import make_job
 from copperpass.settings import Objective
 from tests.world import TYPE, job
@@ -68,3 +68,18 @@
     scarce.note(0.0, [made(2, 0.0, cpus=32.0)])
     named = made(3, 0.0, cpus=4.0, racks=allowed)
     assert set(allowed) - scarce.closed_to(named.spec)
+
+
+def test_overdue_work_gets_a_part_of_the_room_and_no_more():
+    # Work without aims, overdue first, took all room from work whose one aim was far off.
+    aims = Aims(AIMS, 120.0)
+    old, new = made(1, 0.0, slot="none"), made(2, 190.0, slot="slow")
+    queue = task_order([new, old], aims, 200.0)
+    assert queue == [old, new]
+    share_late(queue, aims, 200.0, used=8.0, quota=16.0)
+    assert queue == [old, new]
+    share_late(queue, aims, 200.0, used=16.0, quota=16.0)
+    assert queue == [new, old]
+    alone = [old]
+    share_late(alone, aims, 200.0, used=16.0, quota=16.0)
+    assert alone == [old]
