Read the change again: the end of a lease, GPUs and boot times judged in one place each

One sum of what teams have left serves both the allocation and the order of pools, instead of a second pass over all jobs for each pool. A machine's place is its own property. No behaviour changed.

--- a/src/copperpass/core/authority.py
+++ b/src/copperpass/core/authority.py
@@ -60,6 +60,12 @@
     return times
 
 
+def certain_lease_s(cluster: Cluster) -> float:
+    """How long after an answer's receipt a worker's lease is over for certain."""
+    workers = cluster.workers
+    return workers.lease_s * (1 + 4 * DRIFT) + 0.05 * workers.report_s
+
+
 class Authority:
     """The election core of one node."""
 
--- a/src/copperpass/core/landlord.py
+++ b/src/copperpass/core/landlord.py
@@ -7,7 +7,7 @@
 
 from copperpass import peer, wire
 from copperpass.core import allocation, dispatch, rental
-from copperpass.core.authority import DRIFT, TOKEN, Authority
+from copperpass.core.authority import DRIFT, TOKEN, Authority, certain_lease_s
 from copperpass.core.directory import (
     ANYBODY,
     EMPTY,
@@ -53,6 +53,11 @@
     back_for: int | None = None
     back_until: float = 0.0
 
+    @property
+    def place(self) -> Place:
+        """What it was rented as."""
+        return (self.entry.type, self.entry.zone, self.entry.spot)
+
     @property
     def spare(self) -> bool:
         """Whether it could be used elsewhere or returned now."""
@@ -121,7 +126,7 @@
         self.won_at = now
         self.grant_s = GRANT_PER_TTL * authority.ttl
         self.report_s = cluster.workers.report_s
-        self.lease_s = cluster.workers.lease_s * (1 + 4 * DRIFT) + 0.05 * self.report_s
+        self.lease_s = certain_lease_s(cluster)
         self.table: Table[Entry] = Table()
         self.machines: dict[str, Held] = {}
         self.gone: dict[str, float] = {}
@@ -143,7 +148,7 @@
         self.aims = dispatch.Aims(cluster.objectives, tuning.patience_s)
         self.scarce = dispatch.Scarce(types, tuning.keep_scarce_s)
         self.refusals = rental.Refusals()
-        self.boot_s = max((t.boot_s for t in types.values()), default=20.0)
+        self.boot_s = rental.longest_boot(types)
         self.peak = rental.Peak(tuning.warm_window_boots * self.boot_s)
         self.cheap_peak = rental.Peak(tuning.cheap_window_boots * self.boot_s)
         # A pool's own peak is kept for longer: the fewer its jobs, the more they vary.
@@ -341,7 +346,7 @@
             status = replace(status, up=True)
         if status.up and not held.status.up:
             held.up_at = held.idle_since = now
-            self.roster.came_up(now, held.entry.name, self._place(held))
+            self.roster.came_up(now, held.entry.name, held.place)
         if status.idle and not held.status.idle:
             held.idle_since = now
         before, held.status = held.status, status
@@ -466,9 +471,6 @@
 
     # -- rental ------------------------------------------------------------------------------
 
-    def _place(self, held: Held) -> Place:
-        return (held.entry.type, held.entry.zone, held.entry.spot)
-
     def _serving(self) -> list[Held]:
         return [h for h in self.machines.values()
                 if not h.releasing and not h.status.release and not h.entry.failed]
@@ -502,8 +504,9 @@
         serving = self._serving()
         room = sum(h.type.cpus for h in serving)
         self.dear_excess = room > warm.any
-        self.allocations = self._allocate(serving)
-        order = sorted(self.pools.values(), key=lambda p: self._fullness(p, serving))
+        mixes = self._mixes()
+        self.allocations = self._allocate(serving, mixes)
+        order = sorted(self.pools.values(), key=lambda p: self._fullness(p, serving, mixes))
         if not any(h.entry.may_hold == ANYBODY for h in serving):
             wanted: dict[tuple[Place, int], int] = {}
             zones: dict[str, int] = {}
@@ -521,20 +524,26 @@
             self._summary(warm.any, total)
         self._return_idle(now, warm)
 
-    def _allocate(self, serving: list[Held]) -> allocation.Allocation:
-        """Bottleneck-aware allocation of all machines among the teams that ask."""
-        gpus_matter = any(t.gpus > 0 or t.gpus_max > 0 for t in self.cluster.teams)
-        sums: dict[str, list[float]] = {}
+    def _mixes(self) -> dict[str, list[float]]:
+        """What is left to do of each team: tasks, their CPUs, their GPUs or memory."""
+        mixes: dict[str, list[float]] = {}
         for job in self.jobs.jobs.values():
             left = job.spec.tasks - job.done_count
-            second = job.spec.gpus if gpus_matter else job.spec.memory_gb
-            mix = sums.setdefault(job.spec.team, [0.0, 0.0, 0.0])
+            second = job.spec.gpus if self.cluster.gpus_matter else job.spec.memory_gb
+            mix = mixes.setdefault(job.spec.team, [0.0, 0.0, 0.0])
             mix[0] += left
             mix[1] += left * job.spec.cpus
             mix[2] += left * second
+        return mixes
+
+    def _allocate(
+        self, serving: list[Held], mixes: dict[str, list[float]]
+    ) -> allocation.Allocation:
+        """Bottleneck-aware allocation of all machines among the teams that ask."""
+        gpus_matter = self.cluster.gpus_matter
         claims = []
         for team in self.cluster.teams:
-            tasks, cpus, other = sums.get(team.name, (0.0, 0.0, 0.0))
+            tasks, cpus, other = mixes.get(team.name, (0.0, 0.0, 0.0))
             if tasks <= 0:
                 continue
             cap = min(tasks, team.cpus_max * tasks / cpus) if cpus > 0 else tasks
@@ -545,18 +554,16 @@
             sum(h.type.cpus for h in serving),
             sum(h.type.gpus if gpus_matter else h.type.memory_gb for h in serving)))
 
-    def _fullness(self, pool: Pool, serving: list[Held]) -> float:
+    def _fullness(
+        self, pool: Pool, serving: list[Held], mixes: dict[str, list[float]]
+    ) -> float:
         """A pool's machines as a part of its allocation: the furthest below comes first."""
         have = sum(h.type.cpus for h in serving if h.entry.pool == pool.number)
-        target = 0.0
-        for job in self.jobs.jobs.values():
-            if job.spec.team in pool.teams:
-                target += (job.spec.tasks - job.done_count) * job.spec.cpus
+        mine = [mixes[t] for t in pool.teams if t in mixes]
+        left, cpus = sum(mix[0] for mix in mine), sum(mix[1] for mix in mine)
         given = self.allocations.tasks if self.allocations else {}
         share = sum(given.get(t, 0.0) for t in pool.teams)
-        left = sum(j.spec.tasks - j.done_count for j in self.jobs.jobs.values()
-                   if j.spec.team in pool.teams)
-        target = target * share / left if left > 0 else 0.0
+        target = cpus * share / left if left > 0 else 0.0
         return have / target if target > 0 else float("inf")
 
     def _serve_wants(
@@ -572,7 +579,7 @@
             for _ in range(count)
         ]
         coming = [h for h in serving if h.back_for == pool.number and h.entry.back]
-        rooms += [rental.new_room(h.type, self._place(h)) for h in coming]
+        rooms += [rental.new_room(h.type, h.place) for h in coming]
         spare = [h for h in serving if h.spare and h.entry.pool != pool.number
                  and not h.entry.back and h.entry.pool != UNPOOLED]
         spare.sort(key=lambda h: dispatch.price_of(h.type, h.entry.spot) / h.type.cpus)
@@ -591,7 +598,7 @@
                     patient and self.dear_excess and not held.entry.spot
                 ) or not cover.may_lend(own, pool.number, held.type.cpus):
                     continue
-                room = rental.new_room(held.type, self._place(held))
+                room = rental.new_room(held.type, held.place)
                 taken = room.take(spec, left, horizon)
                 if taken > 0:
                     left -= taken
@@ -616,7 +623,7 @@
                 # Nothing can be rented: what others keep for later serves who needs it now.
                 for held in spare:
                     if left > 0 and held.type.name not in closed:
-                        taken = rental.new_room(held.type, self._place(held)).take(
+                        taken = rental.new_room(held.type, held.place).take(
                             spec, left, horizon)
                         if taken > 0:
                             left -= taken
@@ -637,7 +644,7 @@
             for held in sorted(theirs, key=lambda h: h.used_cpus):
                 if other is pool or count <= 0 or spare < held.used_cpus or held.entry.back:
                     break
-                room = rental.new_room(held.type, self._place(held))
+                room = rental.new_room(held.type, held.place)
                 taken = room.take(spec, count, 0.0)
                 if taken > 0 and held.type.name not in self.scarce.closed_to(spec):
                     count -= taken
--- a/src/copperpass/core/node.py
+++ b/src/copperpass/core/node.py
@@ -15,6 +15,7 @@
 from copperpass.core.owner import Owner
 from copperpass.core.ports import Call, Outbox, Outcome, Reply
 from copperpass.core.relay import Relay
+from copperpass.core.rental import longest_boot
 from copperpass.core.roster import FLEET
 from copperpass.core.users import UserDesk
 from copperpass.core.view import View
@@ -353,7 +354,7 @@
     def _use_types(self, offer: wire.MachineTypes) -> None:
         self.types.update({t.name: t for t in offer.types})
         self.desk.types = self.types
-        longest = max((t.boot_s for t in self.types.values()), default=20.0)
+        longest = longest_boot(self.types)
         for owner in self.owners:
             owner.boot_s = longest
         if self.landlord is not None:
--- a/src/copperpass/core/owner.py
+++ b/src/copperpass/core/owner.py
@@ -7,7 +7,7 @@
 
 from copperpass import wire
 from copperpass.core import allocation, dispatch, rental
-from copperpass.core.authority import DRIFT
+from copperpass.core.authority import certain_lease_s
 from copperpass.core.directory import (
     ANYBODY,
     EMPTY,
@@ -85,7 +85,7 @@
         self.aims = dispatch.Aims(cluster.objectives, self.tuning.patience_s)
         self.dirty = False
         self.report_s = cluster.workers.report_s
-        self.lease_s = cluster.workers.lease_s * (1 + 4 * DRIFT) + 0.05 * self.report_s
+        self.lease_s = certain_lease_s(cluster)
         self.silence = self.tuning.silence_reports * self.report_s
         # A worker that loses its way is back, over another node, after this long at most: to delete
         # its machine sooner would cost its tasks.
@@ -96,7 +96,7 @@
         self.recent: dict[str, deque[tuple[float, float, float]]] = {
             t.name: deque(maxlen=64) for t in self.teams
         }
-        self.boot_s = max((t.boot_s for t in types.values()), default=20.0)
+        self.boot_s = rental.longest_boot(types)
         # Whether dear machines could go back: else they stay up, and any work may use them.
         self.dear_excess = True
         self.next_scan = now
@@ -106,7 +106,7 @@
         self.progress = Progress(
             jobs, ledger, token_version, versions, pool, 0.8 * room,
             max(self.report_s / 2, 4 / cluster.state.write_rps), cluster.workers.lease_s)
-        self.gpus_matter = any(t.gpus > 0 or t.gpus_max > 0 for t in cluster.teams)
+        self.gpus_matter = cluster.gpus_matter
         for job in jobs.jobs.values():
             if job.spec.team in self.by_team:
                 job.forget_tasks()
--- a/src/copperpass/core/rental.py
+++ b/src/copperpass/core/rental.py
@@ -13,6 +13,11 @@
 Place = tuple[str, str, bool]
 
 
+def longest_boot(types: dict[str, wire.MachineType]) -> float:
+    """The longest usual boot time; before the offer is known, that of a common machine."""
+    return max((t.boot_s for t in types.values()), default=20.0)
+
+
 @dataclass(slots=True)
 class Refusals:
     """Places where the cloud had nothing, and when to ask again."""
--- a/src/copperpass/settings.py
+++ b/src/copperpass/settings.py
@@ -95,6 +95,11 @@
     resources: Resources = msgspec.field(default_factory=Resources)
     clock_error_ms: float = 0.0
 
+    @property
+    def gpus_matter(self) -> bool:
+        """Whether any team has GPUs: then they are the second resource, else memory is."""
+        return any(t.gpus > 0 or t.gpus_max > 0 for t in self.teams)
+
 
 class Settings(
     msgspec.Struct,
