Rounds judge each machine once, sums are kept up, sockets for orders are bounded

Change: teams' use is a sum kept up machine by machine; a round ranks the machines once for a job and shapes without room once for all; rounds without waiting work end at once; statuses only of what changed; no look for forms; orders to workers use at most a quarter of the sockets; a connection that was never made frees its starts. Found on the way: a machine given back as its session ends left its last status behind.

--- a/src/copperpass/core/directory.py
+++ b/src/copperpass/core/directory.py
@@ -102,17 +102,15 @@
 
     def after(self, seq: int, most: int) -> tuple[list[T], int]:
         """Up to `most` entries newer than a number, oldest first, and the last one's number."""
-        found: list[T] = []
-        upto = seq
-        if seq >= self.seq:
-            return found, upto
-        for number, entry in self.entries.values():
-            if number > seq:
-                found.append(entry)
-                upto = number
-                if len(found) >= most:
-                    return found, upto
-        return found, self.seq
+        newer: list[tuple[int, T]] = []
+        # The newest stand last: what a receiver has already is not gone over.
+        for held in reversed(self.entries.values()):
+            if held[0] <= seq:
+                break
+            newer.append(held)
+        newer.reverse()
+        upto = self.seq if len(newer) <= most else newer[most - 1][0]
+        return [entry for _, entry in newer[:most]], max(seq, upto)
 
 
 class Feed(Generic[T]):
--- a/src/copperpass/core/dispatch.py
+++ b/src/copperpass/core/dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Iterable
 
 from copperpass import wire
@@ -78,6 +79,9 @@
 
 def judge_guarantees(jobs: Iterable[Job], guarantees: dict[str, float]) -> None:
     """Note of each new job whether it fits its team's guarantee with the earlier ones."""
+    jobs = list(jobs)
+    if all(job.judged for job in jobs):
+        return
     taken: dict[str, float] = {}
     for job in sorted(jobs, key=lambda j: (j.arrived, j.created)):
         spec = job.spec
@@ -134,49 +138,74 @@
     return best[2] if best else None
 
 
-def best_machine(
-    job: Job,
-    usable: list[Machine],
-    machines: dict[str, Machine],
-    avoid: set[str],
-    now: float,
-    scarce: set[str],
-    cheap_only: bool,
-    tight: bool,
-) -> Machine | None:
-    """The machine that has the image, is cheap, and has the least room left.
+class Ranking:
+    """The machines for one job's tasks in a round: image there, cheap, the least room left.
 
-    Types in `scarce` are for larger tasks only. Cheap machines first: then the dear ones fall idle
-    in a lull and can go back. Where time is tight, no fetch comes before a low price.
+    All machines are judged once; after that only those where something has been started since, so
+    a round's cost grows with what it starts, not with that times the fleet. Types in `closed` are
+    for larger tasks only. Cheap machines come first: then the dear ones fall idle in a lull and can
+    go back. Where time is tight, no fetch comes before a low price. Machines where the job has
+    failed come last.
     """
-    best: Machine | None = None
-    best_score: tuple[float, ...] = ()
-    spec = job.spec
-    for machine in usable:
-        if not machine.has_room(spec) or not allows(spec, machine.type, machine.zone, machine.spot):
-            continue
-        if (cheap_only and not machine.spot) or machine.type.name in scarce:
-            continue
-        if machine.held_from(spec.id, now):
+
+    def __init__(
+        self, job: Job, roomy: Iterable[Machine], machines: dict[str, Machine], now: float, *,
+        closed: set[str], cheap_only: bool, tight: bool, since: int = 0,
+    ) -> None:
+        self.job, self.machines, self.now = job, machines, now
+        self.closed, self.cheap_only, self.tight = closed, cheap_only, tight
+        self.since = since
+        self.heap: list[tuple[tuple[float, ...], int, Machine]] = []
+        self.count = 0
+        for machine in roomy:
+            self._add(machine)
+
+    def _add(self, machine: Machine) -> None:
+        score = self._score(machine)
+        if score is not None:
+            self.count += 1
+            heapq.heappush(self.heap, (score, self.count, machine))
+
+    def _score(self, machine: Machine) -> tuple[float, ...] | None:
+        """The lower the better; None if no task of the job may start there."""
+        spec, kind = self.job.spec, machine.type
+        if not machine.has_room(spec) or not allows(spec, kind, machine.zone, machine.spot):
+            return None
+        if (self.cheap_only and not machine.spot) or kind.name in self.closed:
+            return None
+        if machine.held_from(spec.id, self.now):
             # Room that was freed by stopping tasks is for the job they were stopped for.
-            continue
-        if machine.name in avoid or not zone_allows(job, machine.zone, machines):
-            continue
-        cpus, _, memory = machine.room()
+            return None
+        left = kind.cpus - machine.used_cpus - spec.cpus
         fetch = 0.0
         if spec.image not in machine.images:
-            fetch = spec.image_gb / max(machine.type.fetch_gb_per_s, 1e-3)
-        score = (
-            fetch if tight else 0.0,
-            price_of(machine.type, machine.spot) / max(machine.type.cpus, 1e-6),
+            fetch = spec.image_gb / max(kind.fetch_gb_per_s, 1e-3)
+        return (
+            float(machine.name in self.job.failed_on),
+            fetch if self.tight else 0.0,
+            price_of(kind, machine.spot) / max(kind.cpus, 1e-6),
             fetch,
-            (machine.type.cpus > 2 * spec.cpus and cpus - spec.cpus) or 0.0,
-            cpus - spec.cpus,
-            memory,
+            (kind.cpus > 2 * spec.cpus and left) or 0.0,
+            left,
+            kind.memory_gb - machine.used_memory,
         )
-        if best is None or score < best_score:
-            best, best_score = machine, score
-    return best
+
+    def best(self, log: list[Machine]) -> Machine | None:
+        """The best machine now; `log` names where the round has started tasks, in order."""
+        for machine in log[self.since:]:
+            self._add(machine)
+        self.since = len(log)
+        while self.heap:
+            score, number, machine = self.heap[0]
+            fresh = self._score(machine)
+            if fresh is None or not zone_allows(self.job, machine.zone, self.machines):
+                # Within a round room only shrinks and zones only close.
+                heapq.heappop(self.heap)
+            elif fresh != score:
+                heapq.heapreplace(self.heap, (fresh, number, machine))
+            else:
+                return machine
+        return None
 
 
 def price_of(machine_type: wire.MachineType, spot: bool) -> float:
--- a/src/copperpass/core/fleet.py
+++ b/src/copperpass/core/fleet.py
@@ -11,9 +11,13 @@
 from dataclasses import dataclass, field
 
 from copperpass import wire
+from copperpass.core.directory import Status
 from copperpass.core.jobs import Job, fits
 
 Key = tuple[str, int, int]
+# The team of a task whose job is not known.
+GHOST = "?"
+NO_PRIORITY = 99
 
 
 @dataclass(slots=True)
@@ -103,9 +107,18 @@
     tasks: dict[Key, Placement] = field(default_factory=dict)
     starts: list[Placement] = field(default_factory=list)
     images: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    # What the active tasks take, added up by `recount` whenever they have changed: in all, and by
+    # team; the lowest priority among them; whether one is of a job that is not known.
     used_cpus: float = 0.0
     used_gpus: float = 0.0
     used_memory: float = 0.0
+    by_team: dict[str, tuple[float, float]] = field(default_factory=dict)
+    lowest: int = NO_PRIORITY
+    ghosts: bool = False
+    # Tasks have come or ended since the last recount.
+    stale: bool = False
+    # What the leader was told last.
+    told: Status | None = None
 
     @property
     def contact(self) -> float:
@@ -118,10 +131,20 @@
 
     def recount(self) -> None:
         """Add up what the active tasks take."""
-        active = [p for p in self.tasks.values() if p.active]
-        self.used_cpus = sum(p.cpus for p in active)
-        self.used_gpus = sum(p.gpus for p in active)
-        self.used_memory = sum(p.memory_gb for p in active)
+        cpus = gpus = memory = 0.0
+        by_team: dict[str, tuple[float, float]] = {}
+        lowest, ghosts = NO_PRIORITY, False
+        for p in self.tasks.values():
+            if not p.active:
+                continue
+            cpus, gpus, memory = cpus + p.cpus, gpus + p.gpus, memory + p.memory_gb
+            before = by_team.get(p.team, (0.0, 0.0))
+            by_team[p.team] = (before[0] + p.cpus, before[1] + p.gpus)
+            lowest = min(lowest, p.priority)
+            ghosts = ghosts or p.team == GHOST
+        self.used_cpus, self.used_gpus, self.used_memory = cpus, gpus, memory
+        self.by_team, self.lowest, self.ghosts = by_team, lowest, ghosts
+        self.stale = False
 
     def room(self) -> tuple[float, float, float]:
         """Free CPUs, GPUs and memory."""
@@ -133,8 +156,12 @@
 
     def has_room(self, spec: wire.Spec) -> bool:
         """Whether a task fits now."""
-        cpus, gpus, memory = self.room()
-        return fits(spec.cpus, cpus) and fits(spec.gpus, gpus) and fits(spec.memory_gb, memory)
+        kind = self.type
+        return (
+            fits(spec.cpus, kind.cpus - self.used_cpus)
+            and fits(spec.memory_gb, kind.memory_gb - self.used_memory)
+            and fits(spec.gpus, kind.gpus - self.used_gpus)
+        )
 
     def touch_image(self, image: str, size: float) -> None:
         """Note that the machine has, or will have, an image; forget the oldest beyond its cache."""
@@ -197,3 +224,38 @@
     if spec.one_zone and any(z != zone for z in counts):
         return False
     return not spec.spread or counts.get(zone, 0) + 1 <= (spec.tasks + 1) // 2
+
+
+class Tally:
+    """What each team's tasks take on an owner's machines: sums kept up machine by machine."""
+
+    def __init__(self) -> None:
+        self.teams: dict[str, list[float]] = {}
+        self.ghosts: set[str] = set()
+
+    def recount(self, machine: Machine) -> None:
+        """Bring the sums up to a machine whose tasks have changed."""
+        self._add(machine, -1.0)
+        machine.recount()
+        self._add(machine, 1.0)
+        if machine.ghosts:
+            self.ghosts.add(machine.name)
+        else:
+            self.ghosts.discard(machine.name)
+
+    def drop(self, machine: Machine) -> None:
+        """A machine is not the owner's any more."""
+        self._add(machine, -1.0)
+        machine.by_team = {}
+        self.ghosts.discard(machine.name)
+
+    def _add(self, machine: Machine, sign: float) -> None:
+        for team, (cpus, gpus) in machine.by_team.items():
+            sums = self.teams.setdefault(team, [0.0, 0.0])
+            sums[0] += sign * cpus
+            sums[1] += sign * gpus
+
+    def of(self, team: str) -> tuple[float, float]:
+        """CPUs and GPUs that a team's tasks take or may take."""
+        cpus, gpus = self.teams.get(team, (0.0, 0.0))
+        return cpus, gpus
--- a/src/copperpass/core/holder.py
+++ b/src/copperpass/core/holder.py
@@ -140,7 +140,7 @@
     def _tell(self, now: float) -> None:
         for owner in self.owners.values():
             owner.parting = False
-            for status in owner.statuses(now):
+            for status in owner.statuses():
                 self.table.put(status)
         while self.feed.sent < self.table.seq:
             before, upto, statuses = self.feed.next(BATCH)
--- a/src/copperpass/core/owner.py
+++ b/src/copperpass/core/owner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections import OrderedDict, deque
 from collections.abc import Callable
 
@@ -17,17 +18,16 @@
     Entry,
     Status,
 )
-from copperpass.core.fleet import Machine, Placement
+from copperpass.core.fleet import GHOST, NO_PRIORITY, Machine, Placement, Tally
 from copperpass.core.jobs import LIVE, OVER, Job, JobTable, fits, parse_task, task_id
 from copperpass.core.ledger import APPLIED, Ledger, Op
-from copperpass.core.ports import Call, Outbox, Outcome
+from copperpass.core.ports import NOT_SENT, Call, Outbox, Outcome
 from copperpass.core.progress import Progress
 from copperpass.settings import Cluster, Team
 from copperpass.tuning import Tuning
 
 # Attempts are told apart by term, then by ownership within the term, then counted.
 EPOCH_SHIFT, SERIAL_SHIFT = 44, 28
-GHOST = "?"
 # The part of a pool's room that overdue work gets before work that can still be in time.
 LATE_PART = 0.5
 Images = dict[str, "OrderedDict[str, float]"]
@@ -76,6 +76,7 @@
         self.wanting = self.parting = False
         self.urgent: set[str] = set()
         self.machines: dict[str, Machine] = {}
+        self.tally = Tally()
         self.unsettled: set[str] = set()
         # Machines of other pools where tasks of this pool may be, by the leader's word.
         self.elsewhere: dict[str, str] = {}
@@ -92,6 +93,10 @@
         self.lost_s = max(
             1.5 * self.silence, 1.25 * self.report_s + wire.REPORT_WAIT_S + 3 * wire.NEXT_NODE_S)
         self.last_report = now
+        # Orders that are being sent straight to workers, and how many may be at once.
+        self.directs = 0
+        self.most_directs = max(8, cluster.resources.max_connections // (8 * len(set(
+            pools.values()))))
         self.allocations: allocation.Allocation | None = None
         self.recent: dict[str, deque[tuple[float, float, float]]] = {
             t.name: deque(maxlen=64) for t in self.teams
@@ -129,7 +134,7 @@
         """The leader's table has an entry for a machine."""
         name, machine = entry.name, self.machines.get(entry.name)
         told = self.given.get(name)
-        if told is not None and entry.base != told.base:
+        if told is not None and (entry.base != told.base or entry.gone):
             del self.given[name]
         if entry.pool != self.pool or entry.gone:
             if entry.gone and machine is not None:
@@ -196,40 +201,50 @@
 
     def _part(self, machine: Machine, last: Status) -> None:
         del self.machines[machine.name]
+        self.tally.drop(machine)
         self.unsettled.discard(machine.name)
         self.given[machine.name] = last
         self.parting = self.dirty = True
 
     def _gone(self, now: float, machine: Machine) -> None:
         """The cloud has confirmed: the machine and all on it are gone."""
+        machine.vacating = False
         self._session_over(now, machine)
+        self.tally.drop(machine)
         self.machines.pop(machine.name, None)
         self.images.pop(machine.name, None)
 
-    def statuses(self, now: float) -> list[Status]:
-        """What the leader should know of the machines."""
+    def statuses(self) -> list[Status]:
+        """What the leader should know of the machines and has not been told."""
         told = list(self.given.values())
         for m in self.machines.values():
             idle = m.up and m.recorded and m.empty()
             settled = m.settled and not m.foreign
-            told.append(Status(
-                m.name, m.base, m.up, settled, idle, release=m.releasing, used_cpus=m.used_cpus))
+            last = m.told
+            if last is None or (
+                last.base, last.up, last.settled, last.idle, last.release, last.used_cpus
+            ) != (m.base, m.up, settled, idle, m.releasing, m.used_cpus):
+                m.told = Status(
+                    m.name, m.base, m.up, settled, idle, release=m.releasing,
+                    used_cpus=m.used_cpus)
+                told.append(m.told)
         return told
 
     def wants(self, now: float) -> list[tuple[str, int, float]]:
         """Tasks that the machines have no room for in time: job, count, seconds left."""
+        waiting = [job for job in self.mine() if job.waiting() > 0]
+        if not waiting:
+            return []
         rooms = rental.rooms_of(self.machines.values(), now, self.silence)
         unmet = []
-        demand = dict.fromkeys(self.by_team, 0.0)
-        jobs = dispatch.task_order(self.mine(), self.aims, now, self.boot_s / 2)
-        for job in jobs:
+        taken = {team: self.tally.of(team)[0] for team in self.by_team}
+        for job in dispatch.task_order(waiting, self.aims, now, self.boot_s / 2):
             spec, count = job.spec, job.waiting()
-            room = self.by_team[spec.team].cpus_max - demand[spec.team]
-            demand[spec.team] += len(job.placed) * spec.cpus
+            room = self.by_team[spec.team].cpus_max - taken[spec.team]
             # Tasks that may be running where we have not looked yet need no machines.
-            if count <= 0 or len(job.failed_on) >= 3 or not self._startable(job, now):
+            if len(job.failed_on) >= 3 or not self._startable(job, now):
                 continue
-            demand[spec.team] += count * spec.cpus
+            taken[spec.team] += count * spec.cpus
             if spec.cpus > 0:
                 count = min(count, max(0, int(room / spec.cpus)))
             horizon = max(0.0, self.aims.due(job, now) - now)
@@ -304,7 +319,8 @@
                 self._remove(now, machine, p)
         if belied:
             self._strike(now, machine)
-        machine.recount()
+        if machine.stale:
+            self.tally.recount(machine)
         if machine.tasks:
             machine.idle_since = now
             self._mind_foreign(now, machine)
@@ -361,6 +377,7 @@
             key[0], key[1], key[2], machine.name, GHOST, "", 0, 0.0, 0.0, 0.0, "", 0.0, seen=True
         )
         machine.tasks[key] = p
+        machine.stale = True
         self.where.setdefault(p.job_id, set()).add(machine.name)
         self._match_job(now, machine, p)
         return p
@@ -378,7 +395,7 @@
                 p.cpus, p.gpus, p.memory_gb = spec.cpus, spec.gpus, spec.memory_gb
                 p.image, p.estimate_s = spec.image, spec.estimate_s
                 machine.touch_image(spec.image, spec.image_gb)
-                machine.recount()
+                self.tally.recount(machine)
             if p.active and p.index < job.spec.tasks:
                 other = job.placed.get(p.index)
                 if other is None and not job.is_done(p.index):
@@ -398,6 +415,7 @@
         p.seen = True
         if p.foreign:
             p.state = task.state
+            machine.stale = True
             return
         job = self.jobs.jobs.get(p.job_id)
         if task.state != wire.EXITED:
@@ -411,6 +429,7 @@
         if not was_active:
             return
         p.state, p.why = wire.EXITED, task.why or ""
+        machine.stale = True
         if p.why != wire.WHY_DONE:
             self.out.log(
                 "debug", "task ended", task=task.task, why=p.why, asked=p.stopping_for,
@@ -497,7 +516,7 @@
         if p.active and job is not None and job.placed.get(p.index) == machine.name:
             job.release(p.index)
         self.dirty = True
-        machine.recount()
+        self.tally.recount(machine)
 
     def _session_over(self, now: float, machine: Machine) -> None:
         for p in list(machine.tasks.values()):
@@ -545,6 +564,8 @@
             machine.do_in_flight or not machine.address or machine.session == 0
             or now < max(machine.do_broken_until, machine.handed_until)
             or not self.entitled(now) or machine.releasing
+            # Beyond the sockets that are kept for this, orders go with answers to reports.
+            or self.directs >= self.most_directs
         ):
             return
         stops = [
@@ -563,6 +584,7 @@
             commands.append(wire.Command(wire.START, task_id(p.job_id, p.index), p.attempt))
         machine.starts.clear()
         machine.do_in_flight = True
+        self.directs += 1
         body = wire.encode(wire.Direct(machine.token, machine.session, commands))
         self.out.calls.append(
             Call(
@@ -576,13 +598,18 @@
         self, now: float, outcome: Outcome, machine: Machine, starts: list[Placement]
     ) -> None:
         machine.do_in_flight = False
+        self.directs -= 1
         if self.over:
             return
         report = None
         if outcome.status in (200, 409):
             report = wire.decode(outcome.body, wire.Report)
         mine = [p for p in starts if machine.tasks.get(p.key) is p and not p.seen]
-        if outcome.status in (400, 409):
+        if outcome.status == NOT_SENT:
+            # No connection: whatever is there can't be reached, so it gets nothing new for now.
+            machine.do_broken_until = now + 2 * self.report_s
+            self._strike(now, machine)
+        if outcome.status in (400, 409, NOT_SENT):
             # Nothing was executed, for certain.
             for p in mine:
                 self._remove(now, machine, p)
@@ -711,27 +738,17 @@
 
     def _usage(self) -> dict[str, tuple[float, float]]:
         """What each team's tasks take or may take."""
-        used = {t.name: [0.0, 0.0] for t in self.teams}
         ghosts = [0.0, 0.0]
-        for machine in self.machines.values():
-            ghost = False
-            for p in machine.tasks.values():
-                if not p.active:
-                    continue
-                if p.team in used:
-                    used[p.team][0] += p.cpus
-                    used[p.team][1] += p.gpus
-                else:
-                    ghost = True
-            if ghost or machine.name in self.unsettled:
-                # What is there is not known: count all that could be, against every team.
-                cpus, gpus, _ = machine.room()
-                ghosts[0] += max(0.0, cpus)
-                ghosts[1] += max(0.0, gpus)
+        for name in self.unsettled | self.tally.ghosts:
+            # What is there is not known: count all that could be, against every team.
+            cpus, gpus, _ = self.machines[name].room()
+            ghosts[0] += max(0.0, cpus)
+            ghosts[1] += max(0.0, gpus)
         for kind in self.elsewhere.values():
             if kind in self.types:
                 ghosts[0] += self.types[kind].cpus
                 ghosts[1] += self.types[kind].gpus
+        used = {t.name: self.tally.of(t.name) for t in self.teams}
         return {name: (u[0] + ghosts[0], u[1] + ghosts[1]) for name, u in used.items()}
 
     def _startable(self, job: Job, now: float) -> bool:
@@ -765,6 +782,13 @@
     def round(self, now: float) -> None:
         """One dispatch round."""
         self.dirty = False
+        jobs = self.mine()
+        self.scarce.note(now, jobs)
+        if all(job.waiting() <= 0 for job in jobs):
+            # Most reports of a quiet hour change nothing that could be started.
+            self.wanting, self.urgent = False, set()
+            self.next_round = now + 0.01
+            return
         silence = self.silence
         usable = [m for m in self.machines.values() if m.usable(now, silence)]
         capacity = (
@@ -773,7 +797,6 @@
         )
         self.allocations = allocation.allocate(self._claims(), capacity)
         used = self._usage()
-        jobs = self.mine()
         dispatch.judge_guarantees(jobs, {t.name: t.cpus for t in self.teams})
         running = {t.name: 0 for t in self.teams}
         queues: dict[str, list[Job]] = {t.name: [] for t in self.teams}
@@ -791,11 +814,15 @@
         for queue in order.values():
             dispatch.share_late(queue, self.aims, now, late_used, late_quota)
         smallest = min((j.spec.cpus for j in jobs if j.spec.cpus > 0), default=0.0)
-        roomy = [m for m in usable if fits(smallest, m.room()[0])]
+        roomy = [m for m in usable if fits(smallest, m.type.cpus - m.used_cpus)]
         holding: set[str] = set()
+        # Jobs that room is held for, by stopping tasks or for want of a large gap.
+        held = {m.held_for for m in usable if now < m.held_until}
         stuck: list[Job] = []
-        touched: dict[str, Machine] = {}
-        self.scarce.note(now, jobs)
+        log: list[Machine] = []
+        rankings: dict[str, dispatch.Ranking] = {}
+        # Shapes that found no room: it only shrinks within a round.
+        full: set[tuple[object, ...]] = set()
         while usable:
             names = [name for name, q in order.items() if q]
             if not names:
@@ -821,15 +848,18 @@
             slack = self.aims.due(job, now) - now
             can_wait = slack > self.tuning.patient_boots * self.boot_s
             patient = self.dear_excess and spec.spot and can_wait
-            if not over:
-                closed, tight = self.scarce.closed_to(spec), slack < self.boot_s
-                machine = dispatch.best_machine(
-                    job, roomy, self.machines, job.failed_on, now, closed, patient, tight
-                )
-                if machine is None and job.failed_on:
-                    machine = dispatch.best_machine(
-                        job, roomy, self.machines, set(), now, closed, patient, tight
-                    )
+            shape = None
+            if not (spec.types or spec.zone or spec.one_zone or spec.spread or spec.id in held):
+                shape = (spec.cpus, spec.gpus, spec.memory_gb, spec.spot, patient)
+            if not over and shape not in full:
+                ranking = rankings.get(spec.id)
+                if ranking is None:
+                    ranking = rankings[spec.id] = dispatch.Ranking(
+                        job, roomy, self.machines, now, closed=self.scarce.closed_to(spec),
+                        cheap_only=patient, tight=slack < self.boot_s, since=len(log))
+                machine = ranking.best(log)
+                if machine is None and shape is not None:
+                    full.add(shape)
             if machine is None:
                 order[name].pop(0)
                 if over:
@@ -839,18 +869,19 @@
                     # A large task never finds room among small ones that take each gap: as with
                     # the design's gangs, freed room is held for one of them a team at a time.
                     holding.add(name)
-                    held = dispatch.machine_to_hold(job, usable, self.machines, now)
-                    if held is not None:
-                        held.held_for, held.held_until = spec.id, now + self.report_s
+                    keep = dispatch.machine_to_hold(job, usable, self.machines, now)
+                    if keep is not None:
+                        keep.held_for, keep.held_until = spec.id, now + self.report_s
+                        held.add(spec.id)
                 continue
             self._start(now, job, index, machine)
-            if self.aims.overdue(job, now):
+            if late_used < late_quota and self.aims.overdue(job, now):
                 late_used += spec.cpus
                 dispatch.share_late(order[name], self.aims, now, late_used, late_quota)
-            touched[machine.name] = machine
+            log.append(machine)
             used[name] = (used[name][0] + spec.cpus, used[name][1] + spec.gpus)
             running[name] += 1
-        for machine in touched.values():
+        for machine in {m.name: m for m in log}.values():
             self._send_direct(now, machine)
         urgent = {j.spec.id for j in stuck if self.aims.due(j, now) - now < self.boot_s}
         self.wanting = bool(urgent - self.urgent)
@@ -876,7 +907,7 @@
         machine.starts.append(p)
         machine.idle_since = now
         machine.touch_image(spec.image, spec.image_gb)
-        machine.recount()
+        self.tally.recount(machine)
         job.placed[index] = machine.name
         self.recent[spec.team].append((spec.cpus, spec.gpus, spec.memory_gb))
 
@@ -886,40 +917,40 @@
     ) -> None:
         """Stop work of lower priority, or borrowed room, for tasks that would miss their aim."""
         over = {t.name for t in self.teams if used[t.name][0] > t.cpus + 1e-6}
-        stopping = sum(
-            1 for m in self.machines.values() for p in m.tasks.values()
-            if p.active and p.stop is not None and p.stopping_for == "preempted"
-        )
+        stopping: int | None = None
+        lowest = min((m.lowest for m in usable), default=NO_PRIORITY)
         for job in stuck:
             spec = job.spec
-            due = self.aims.due(job, now) - now
-            if due > self.boot_s:
+            if self.aims.due(job, now) - now > self.boot_s:
                 continue
             guaranteed = self.by_team[spec.team].cpus
-            under = self.aims.guarantee is not None and fits(
+            under = bool(over - {spec.team}) and self.aims.guarantee is not None and fits(
                 used[spec.team][0] + spec.cpus, guaranteed
             )
+            mine = wire.PRIORITIES[spec.priority]
+            if lowest >= mine and not under:
+                continue
+            if stopping is None:
+                stopping = sum(
+                    1 for m in self.machines.values() for p in m.tasks.values()
+                    if p.active and p.stop is not None and p.stopping_for == "preempted"
+                )
             budget = min(job.waiting(), 8) - stopping
-            while budget > 0:
-                best: tuple[float, Machine, list[Placement]] | None = None
-                for machine in usable:
-                    if now < machine.held_until:
-                        continue
-                    chosen = dispatch.victims(job, machine, self.jobs.jobs, over, under, now)
-                    if not chosen:
-                        continue
-                    cost = sum(
-                        dispatch.lost_work(p, 0.0, now) * p.cpus for p in chosen
-                    )
-                    if best is None or cost < best[0]:
-                        best = (cost, machine, chosen)
-                if best is None:
-                    break
-                for p in best[2]:
+            if budget <= 0:
+                continue
+            found: list[tuple[float, str, Machine, list[Placement]]] = []
+            for machine in usable:
+                if now < machine.held_until or (machine.lowest >= mine and not under):
+                    continue
+                chosen = dispatch.victims(job, machine, self.jobs.jobs, over, under, now)
+                if chosen:
+                    cost = sum(dispatch.lost_work(p, 0.0, now) * p.cpus for p in chosen)
+                    found.append((cost, machine.name, machine, chosen))
+            for _, _, machine, chosen in heapq.nsmallest(budget, found):
+                for p in chosen:
                     p.stop, p.stopping_for = self._save_s(p), "preempted"
                     p.stop_sent = 0.0
                     stopping += 1
-                budget -= 1
-                best[1].held_for = spec.id
-                best[1].held_until = now + 2 * self.report_s
-                self._send_direct(now, best[1])
+                machine.held_for = spec.id
+                machine.held_until = now + 2 * self.report_s
+                self._send_direct(now, machine)
--- a/src/copperpass/core/ports.py
+++ b/src/copperpass/core/ports.py
@@ -7,12 +7,14 @@
 
 from copperpass.peer import Frame
 
-NO_ANSWER = 0
+# A call without an answer may have been carried out, or be carried out yet. One that was not sent,
+# because no connection could be made, never will be.
+NO_ANSWER, NOT_SENT = 0, -1
 
 
 @dataclass(slots=True)
 class Outcome:
-    """How a call ended. Status 0: no answer, so it may have been done or be done yet."""
+    """How a call ended: an HTTP status, `NO_ANSWER` or `NOT_SENT`."""
 
     status: int
     body: bytes = b""
--- a/src/copperpass/core/rental.py
+++ b/src/copperpass/core/rental.py
@@ -107,10 +107,17 @@
     gpus: float
     memory: float
     frees: list[tuple[float, float, float, float]]
+    # The CPUs that it has once all that runs there has ended.
+    most: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.most = self.cpus + sum(free[1] for free in self.frees)
 
     def take(self, spec: wire.Spec, count: int, horizon: float) -> int:
         """Give room to up to `count` tasks that may start within the horizon."""
-        if count <= 0 or not allows(spec, self.type, self.zone, self.spot):
+        if count <= 0 or spec.cpus > self.most + 1e-6:
+            return 0
+        if not allows(spec, self.type, self.zone, self.spot):
             return 0
         cpus, gpus, memory = self.cpus, self.gpus, self.memory
         for at, c, g, m in self.frees:
@@ -123,6 +130,7 @@
         if slots <= 0:
             return 0
         self.cpus -= slots * spec.cpus
+        self.most -= slots * spec.cpus
         self.gpus -= slots * spec.gpus
         self.memory -= slots * spec.memory_gb
         return slots
--- a/src/copperpass/net/server.py
+++ b/src/copperpass/net/server.py
@@ -9,7 +9,6 @@
 from copperpass import wire
 
 JSON = b"application/json"
-IDLE_S = 300
 
 
 class ApiRequest(Request):
@@ -18,11 +17,18 @@
     service: Any = None
     gone = False
 
+    def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:
+        """Take a whole request; no body is a form, and looking for one costs more than the rest."""
+        content: Any = self.content
+        content.seek(0)
+        self.method, self.uri, self.clientproto = command, path, version
+        self.path = path.partition(b"?")[0]
+        self.process()
+
     def process(self) -> None:
         """Route the request."""
         path = self.path.decode("latin-1")
         method = self.method.decode("latin-1")
-        self.notifyFinish().addErrback(self._lost)
         service = self.service
         content: Any = self.content
         if path == wire.PATH_REPORT:
@@ -53,8 +59,10 @@
         self.reply(405, wire.error("method not allowed"))
         return False
 
-    def _lost(self, failure: Any) -> None:
+    def connectionLost(self, reason: Any) -> None:
+        """The asker has gone."""
         self.gone = True
+        super().connectionLost(reason)
 
     def reply(self, status: int, body: bytes, retry_after: int | None = None) -> None:
         """Answer, unless the asker has gone."""
@@ -72,8 +80,8 @@
 class ApiFactory(HTTPFactory):
     """Makes channels whose requests know the service."""
 
-    def __init__(self, service: Any, reactor: Any) -> None:
-        super().__init__(timeout=IDLE_S, reactor=reactor)
+    def __init__(self, service: Any, reactor: Any, idle_s: float) -> None:
+        super().__init__(timeout=int(idle_s), reactor=reactor)
         self.request_class = type("BoundRequest", (ApiRequest,), {"service": service})
 
     def buildProtocol(self, addr: Any) -> Any:
--- a/src/copperpass/net/service.py
+++ b/src/copperpass/net/service.py
@@ -10,7 +10,7 @@
 
 from copperpass import __version__
 from copperpass.core.node import Node
-from copperpass.core.ports import Call, Outcome
+from copperpass.core.ports import NO_ANSWER, NOT_SENT, Call, Outcome
 from copperpass.log import LEVELS
 from copperpass.net.client import Client
 from copperpass.net.peers import Peers
@@ -34,7 +34,11 @@
             {m.name: m.addr for m in settings.members}, self._received,
             self.node.times.promise / 4,
         )
-        self.client = Client(reactor, 8)
+        sockets = settings.cluster.resources.max_connections
+        self.client = Client(reactor, 8, 32)
+        # A quarter of the sockets for orders to workers; the rest is for those who come in.
+        self.workers = Client(
+            reactor, 1, max(16, sockets // 4), 2 * settings.cluster.workers.lease_s)
         self.addresses = {
             "state": settings.services.state, "cloud": settings.services.cloud,
         }
@@ -44,14 +48,20 @@
     def start(self) -> None:
         """Listen and begin to tick."""
         host, port = split_address(self.settings.listen, "serve_on")
-        factory = ApiFactory(self, self.reactor)
-        self.reactor.listenTCP(port, factory, backlog=200, interface=host)
+        cluster = self.settings.cluster
+        # Whoever has been silent for two leases is gone: its socket is needed for others.
+        factory = ApiFactory(self, self.reactor, max(30.0, 2 * cluster.workers.lease_s))
+        # After crashes a whole fleet comes at once.
+        backlog = max(200, cluster.resources.max_connections)
+        self.reactor.listenTCP(port, factory, backlog=backlog, interface=host)
         self.peers.start()
         logger.info(
             "started", extra={"fields": {"version": __version__, "listen": self.settings.listen}}
         )
         gc.collect()
         gc.freeze()
+        # Most objects are freed by their counts; the collector only looks for the few cycles.
+        gc.set_threshold(20_000, 10, 20)
         self._tick()
 
     # -- inputs ------------------------------------------------------------------------
@@ -140,6 +150,8 @@
     def _send(self, call: Call) -> None:
         def done(status: int, body: bytes) -> None:
             try:
+                if status == NOT_SENT and call.service != "worker":
+                    status = NO_ANSWER
                 if call.service == "state" and status in (200, 404, 409):
                     self.node.state_answered(self.now())
                 call.then(self.now(), Outcome(status, body))
@@ -148,7 +160,8 @@
             self._drain()
 
         address = call.address or self.addresses[call.service]
-        self.client.call(call.method, address, call.path, call.body, call.timeout, done)
+        client = self.workers if call.service == "worker" else self.client
+        client.call(call.method, address, call.path, call.body, call.timeout, done)
 
 
 def run(settings: Settings, tuning: Tuning) -> None:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -321,6 +321,7 @@
         world.run(rng.uniform(0.5, 4.0))
         world.leader()
         world.check_cancelled()
+        world.check_sums()
         act = rng.random()
         names = sorted(world.nodes)
         if act < 0.45 and names:
--- a/tests/world.py
+++ b/tests/world.py
@@ -13,6 +13,7 @@
 
 from copperpass import settings as settings_module
 from copperpass import wire
+from copperpass.core.fleet import GHOST
 from copperpass.core.node import Node
 from copperpass.core.ports import Outcome
 
@@ -611,6 +612,21 @@
     def wrote(self, writes):
         """A change of the state service; stories may look at it."""
 
+    def check_sums(self):
+        """What owners keep up as they go must equal a count from the beginning."""
+        for node in self.nodes.values():
+            for owner in node.owners:
+                for team in owner.by_team:
+                    active = [p for m in owner.machines.values() for p in m.tasks.values()
+                              if p.active and p.team == team]
+                    counted = sum(p.cpus for p in active), sum(p.gpus for p in active)
+                    kept = owner.tally.of(team)
+                    assert all(abs(a - b) < 1e-6 for a, b in zip(kept, counted, strict=True))
+                ghosts = {m.name for m in owner.machines.values()
+                          for p in m.tasks.values() if p.active and p.team == GHOST}
+                assert owner.tally.ghosts == ghosts
+                assert owner.unsettled <= set(owner.machines)
+
     def check_cancelled(self):
         for worker in self.cloud.workers():
             for task in worker.on_it():
