--- a/src/copperpass/net/client.py
+++ b/src/copperpass/net/client.py
@@ -121,8 +121,9 @@
                 done(status, data)
 
         def expire() -> None:
-            if reading and reading[0].transport is not None:
-                reading[0].transport.loseConnection()
+            transport: Any = reading[0].transport if reading else None
+            if transport is not None:
+                transport.loseConnection()
             else:
                 asking.cancel()
             finish(NO_ANSWER, b"")
