Machines taken over are asked at once; stale tables; the leader's pools pass to idle members

Change: contacts of machines stand in the leader's table; a new owner sends each an empty order, whose answer is as good a proof as a report; what is unseen holds up only jobs that may be there; a machine never heard is deleted after a worker's longest way back; a leader's own pool passes to an idle member when all is quiet; peer links that are stuck drop frames and are closed. Found by the tests of this change and mended: a batch of the table held back on an old connection undid newer ones; a share that came before its table left machines under a token that nobody heard; a new session of a machine not yet settled counted as proof.

--- a/src/copperpass/core/directory.py
+++ b/src/copperpass/core/directory.py
@@ -1,7 +1,7 @@
 """What a leader and the owners tell one another: two tables that are copied over unsure links.
 
 Both tables hold one entry a machine, and only the newest counts; so a lost frame is mended by
-sending again what has not been acknowledged, and a repeated one changes nothing.
+sending again what has not been acknowledged, and a repeated or late one changes nothing.
 """
 
 from __future__ import annotations
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Contact:
-    """Where a machine that is handed over empty was heard last."""
+    """Where a machine was heard last."""
 
     address: str
     session: int
@@ -51,6 +51,8 @@
     failed: bool = False
     gone: bool = False
     contact: Contact | None = None
+    # Given back empty a moment ago under the same leader: the contact is certain, nothing is there.
+    proven: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,8 +147,13 @@
         self.applied = 0
 
     def takes(self, before: int, upto: int) -> bool:
-        """Whether a batch may be applied now."""
-        if before > self.applied:
+        """Whether a batch may be applied now.
+
+        One that brings nothing beyond what is there may be a late one, held back on an old
+        connection: its entries may be older than those that have come since. A batch that reaches
+        further was made when all that is there was known, so whatever it holds is newer.
+        """
+        if before > self.applied or upto <= self.applied:
             return False
-        self.applied = max(self.applied, upto)
+        self.applied = upto
         return True
--- a/src/copperpass/core/fleet.py
+++ b/src/copperpass/core/fleet.py
@@ -117,8 +117,11 @@
     ghosts: bool = False
     # Tasks have come or ended since the last recount.
     stale: bool = False
-    # What the leader was told last.
+    # What the leader was told last, and of which session.
     told: Status | None = None
+    told_session: int = 0
+    # When to ask it again what it holds, after it was taken over.
+    next_probe: float = 0.0
 
     @property
     def contact(self) -> float:
--- a/src/copperpass/core/holder.py
+++ b/src/copperpass/core/holder.py
@@ -120,6 +120,11 @@
                     self._send(now, peer.Wants(
                         self.epoch, number, self.inbox.applied, tuple(owner.wants(now)[:500])))
 
+    def refresh(self, now: float) -> None:
+        """A leader's own table has changed and is needed at once."""
+        if self.landlord is not None:
+            self._local(now, self.landlord)
+
     def _local(self, now: float, landlord: Landlord) -> None:
         assert self.local is not None
         _, upto, entries = self.local.next(1 << 30)
--- a/src/copperpass/core/landlord.py
+++ b/src/copperpass/core/landlord.py
@@ -14,6 +14,7 @@
     MOST_HANDOVERS,
     OWN_POOL,
     UNPOOLED,
+    Contact,
     Entry,
     Feed,
     Inbox,
@@ -89,6 +90,8 @@
     """A member that may own pools."""
 
     incarnation: int = 0
+    # When this run of the member first asked.
+    since: float = float("inf")
     heard: float = float("-inf")
     granted_until: float = float("-inf")
     feed: Feed[Entry] | None = None
@@ -134,11 +137,13 @@
         # The table's number when a machine was last added to each pool.
         self.added: dict[int, int] = {}
         self.tenants: dict[str, Tenant] = {}
-        self.tenants[self.member] = Tenant(incarnation, now, float("inf"))
+        self.tenants[self.member] = Tenant(incarnation, now, now, float("inf"))
         self.pools: dict[int, Pool] = {}
         for team, number in pools.items():
             self.pools.setdefault(number, Pool(number, [])).teams.append(team)
         self.serial = 0
+        # When a pool last changed hands of the leader's own will.
+        self.passed_at = now
         room = cluster.state.value_kb * 1024
         self.roster = Roster(
             ledger, self.token_version, room, 4 / cluster.state.write_rps,
@@ -175,8 +180,10 @@
         for name, place in self.roster.places.items():
             if place[0] in self.types and name not in self.gone:
                 hint = self.hints.get(name)
-                pool = hint.pool if hint is not None and not hint.gone else UNPOOLED
-                self._add(now, name, place, pool, ANYBODY)
+                known = hint is not None and not hint.gone
+                pool = hint.pool if hint is not None and known else UNPOOLED
+                contact = hint.contact if hint is not None and known else None
+                self._add(now, name, place, pool, ANYBODY, contact)
         for request, (place, count) in list(self.roster.booked.items()):
             # It may have been carried out: asked again, it names what it brought.
             pool = self._neediest()
@@ -204,11 +211,12 @@
         self.handover += 1
         return base_token(self.epoch, self.handover)
 
-    def _add(self, now: float, name: str, place: Place, pool: int, may_hold: int) -> Held:
+    def _add(self, now: float, name: str, place: Place, pool: int, may_hold: int,
+             contact: Contact | None = None) -> Held:
         recorded = name in self.roster.stored
         base = self._next_base()
         entry = Entry(name, place[0], place[1], place[2], pool, base,
-                      may_hold if recorded else EMPTY, recorded)
+                      may_hold if recorded else EMPTY, recorded, contact=contact)
         held = Held(entry, self.types[place[0]], now, Status(name, base))
         self.machines[name] = held
         self.table.put(entry)
@@ -230,7 +238,7 @@
                 for pool in self.pools.values():
                     if pool.owner == sender:
                         self._disown(now, pool, tenant.granted_until)
-            tenant.incarnation = pull.incarnation
+            tenant.incarnation, tenant.since = pull.incarnation, now
             tenant.feed, tenant.inbox = Feed(self.table), Inbox()
         tenant.heard = now
         tenant.feed.acknowledged(pull.applied)
@@ -267,10 +275,11 @@
         """Change who commands a machine, under a higher token."""
         base = self._next_base()
         held.back_for, held.back_until = None, 0.0
-        contact = status.contact if status is not None and may_hold == EMPTY else None
+        proven = status is not None and may_hold == EMPTY and status.contact is not None
+        contact = status.contact if status is not None and proven else held.entry.contact
         held.status = Status(held.entry.name, base, up=held.status.up)
         self._set(held, pool=pool, base=base, may_hold=may_hold, back=False, vacate=False,
-                  contact=contact)
+                  proven=proven, contact=contact)
         self.added[pool] = self.table.seq
 
     def _live(self, now: float) -> list[str]:
@@ -306,6 +315,31 @@
                 self._read_revision(now, pool)
             self.out.log("info", "pool given", pool=pool.number, owner=chosen, serial=pool.serial)
 
+    def _relieve(self, now: float) -> None:
+        """Give a pool of the leader's own to a member that has none.
+
+        The first member to lead may have all pools before the others have asked, and one that was
+        down comes back with none: without this the leader's processor would serve the whole fleet
+        for good. The leader's own pools alone can pass at once, without waiting for a grant's end;
+        each passing has its price, so it waits until all is quiet, or is done before any machine
+        is up.
+        """
+        mine = [p for p in self.pools.values() if p.owner == self.member]
+        if not mine or len(self.pools) == 1 or not self.ready:
+            return
+        busy = {p.owner for p in self.pools.values()}
+        live = [n for n in self._live(now) if n not in busy]
+        up = any(h.status.up or h.entry.may_hold != EMPTY for h in self.machines.values())
+        if up:
+            settled = all(h.status.settled or not h.status.up for h in self.machines.values())
+            quiet = now - max(self.passed_at, self.won_at) > self.lease_s
+            if not settled or not quiet:
+                return
+            live = [n for n in live if now - self.tenants[n].since > self.lease_s]
+        if live:
+            self.passed_at = now
+            self._disown(now, mine[0], now)
+
     def _read_revision(self, now: float, pool: Pool) -> None:
         """Learn a revision that is certainly after all that the last owner can have seen."""
         if pool.reading:
@@ -353,6 +387,8 @@
         held.used_cpus = status.used_cpus
         if status.settled and not before.settled and held.entry.may_hold != EMPTY:
             self._set(held, may_hold=EMPTY)
+        if status.contact is not None and not status.given:
+            self._heard(held, status.contact.address, status.contact.session)
         if status.given:
             self._given(now, held, status)
             return
@@ -364,6 +400,12 @@
         if status.release and not held.releasing:
             self._release(now, [held])
 
+    def _heard(self, held: Held, address: str, session: int) -> None:
+        """Where a machine answers; kept for whoever commands it next."""
+        known = held.entry.contact
+        if known is None or (known.address, known.session) != (address, session):
+            self._set(held, contact=Contact(address, session, 0))
+
     def _given(self, now: float, held: Held, status: Status) -> None:
         """An owner has given a machine back: nobody commands it now."""
         if status.pool != UNPOOLED:
@@ -444,6 +486,7 @@
                 self._disown(now, pool, now)
             if pool.owner and pool.revision == UNKNOWN_REVISION:
                 self._read_revision(now, pool)
+        self._relieve(now)
         self._share_out(now)
         self.roster.tick(now)
         if now >= self.next_list and not self.listing:
@@ -838,6 +881,8 @@
                 held.rented_at = now - item.age_s
                 self.roster.rented(now, item.id, place)
             held.listed = True
+            if item.address and held.entry.contact is None:
+                self._heard(held, item.address, 0)
             if item.state == "failed" and not held.entry.failed:
                 # It has stopped on its own: nothing runs there any more.
                 self._set(held, failed=True, may_hold=EMPTY)
--- a/src/copperpass/core/node.py
+++ b/src/copperpass/core/node.py
@@ -174,6 +174,9 @@
             return
         if owner is None:
             owner = self._unowned(now, report)
+            if owner == self.settings.name and self.landlord is not None:
+                self.out.replies.append(Reply(request, *self._answer(now, report, False)))
+                return
         linked = owner is not None and self._linked(now, owner)
         if owner is not None and linked and self.relay.hands_on(now, name):
             self.relay.hand_on(now, request, body, owner)
@@ -191,9 +194,11 @@
     def _unowned(self, now: float, report: wire.Report) -> str | None:
         """Where a machine should go that nobody is known to command."""
         if self.landlord is not None:
-            if self.landlord.ready and self.authority.entitled(now):
-                self.landlord.unowned(now, report)
-            return None
+            if not self.landlord.ready or not self.authority.entitled(now):
+                return None
+            self.landlord.unowned(now, report)
+            self.holder.refresh(now)
+            return self.holder.owner_of(report.machine)
         leader = self.authority.leader_name()
         return leader if leader != self.settings.name else None
 
--- a/src/copperpass/core/owner.py
+++ b/src/copperpass/core/owner.py
@@ -18,7 +18,15 @@
     Entry,
     Status,
 )
-from copperpass.core.fleet import GHOST, NO_PRIORITY, Machine, Placement, Tally
+from copperpass.core.fleet import (
+    GHOST,
+    NO_PRIORITY,
+    Machine,
+    Placement,
+    Tally,
+    allows,
+    type_fits,
+)
 from copperpass.core.jobs import LIVE, OVER, Job, JobTable, fits, parse_task, task_id
 from copperpass.core.ledger import APPLIED, Ledger, Op
 from copperpass.core.ports import NOT_SENT, Call, Outbox, Outcome
@@ -79,7 +87,7 @@
         self.tally = Tally()
         self.unsettled: set[str] = set()
         # Machines of other pools where tasks of this pool may be, by the leader's word.
-        self.elsewhere: dict[str, str] = {}
+        self.elsewhere: dict[str, tuple[str, str, bool]] = {}
         # Machines given back: their last status is told until the leader has moved them.
         self.given: dict[str, Status] = {}
         self.where: dict[str, set[str]] = {}
@@ -141,11 +149,20 @@
                 self._gone(now, machine)
             elsewhere = entry.may_hold == ANYBODY and entry.pool != self.pool and not entry.gone
             if elsewhere and not entry.failed:
-                self.elsewhere[name] = entry.type
+                self.elsewhere[name] = (entry.type, entry.zone, entry.spot)
             elif self.elsewhere.pop(name, None) is not None:
                 self.dirty = True
             return
         self.elsewhere.pop(name, None)
+        if machine is not None and entry.base > machine.base and not self.ready:
+            # The share came before the table: what was known of the machine was of an earlier
+            # ownership, and under that token it would not be heard ever again.
+            for p in list(machine.tasks.values()):
+                self._remove(now, machine, p)
+            self.tally.drop(machine)
+            self.unsettled.discard(name)
+            del self.machines[name]
+            machine = None
         if machine is None and name not in self.given:
             machine = self._add(now, entry)
         if machine is None:
@@ -155,6 +172,7 @@
         if entry.failed and not machine.failed:
             # It has stopped on its own: nothing runs there any more.
             machine.failed = True
+            self.unsettled.discard(name)
             self._session_over(now, machine)
         if entry.back:
             self._give_back(now, machine, entry.vacate)
@@ -171,9 +189,10 @@
         self.machines[entry.name] = machine
         self.dirty = True
         if entry.contact is not None:
-            # Given back empty a moment ago under the same leader: it can be commanded at once.
-            machine.address = entry.contact.address
-            machine.session, machine.seq = entry.contact.session, entry.contact.seq
+            machine.address, machine.session = entry.contact.address, entry.contact.session
+        if entry.proven and entry.contact is not None:
+            # It can be commanded at once.
+            machine.seq = entry.contact.seq
             machine.settled = machine.up = True
             machine.up_at = machine.last_report = machine.last_answer = now
         elif entry.recorded and entry.may_hold != EMPTY:
@@ -209,6 +228,7 @@
     def _gone(self, now: float, machine: Machine) -> None:
         """The cloud has confirmed: the machine and all on it are gone."""
         machine.vacating = False
+        self.unsettled.discard(machine.name)
         self._session_over(now, machine)
         self.tally.drop(machine)
         self.machines.pop(machine.name, None)
@@ -221,12 +241,16 @@
             idle = m.up and m.recorded and m.empty()
             settled = m.settled and not m.foreign
             last = m.told
-            if last is None or (
-                last.base, last.up, last.settled, last.idle, last.release, last.used_cpus
-            ) != (m.base, m.up, settled, idle, m.releasing, m.used_cpus):
+            if (
+                last is None or last.base != m.base or last.up != m.up or last.idle != idle
+                or last.settled != settled or last.release != m.releasing
+                or last.used_cpus != m.used_cpus or m.told_session != m.session
+            ):
+                contact = Contact(m.address, m.session, 0) if m.address and m.up else None
+                m.told_session = m.session
                 m.told = Status(
                     m.name, m.base, m.up, settled, idle, release=m.releasing,
-                    used_cpus=m.used_cpus)
+                    used_cpus=m.used_cpus, contact=contact)
                 told.append(m.told)
         return told
 
@@ -284,6 +308,8 @@
         """Bring what we know of a machine up to a newer report."""
         if report.session != machine.session:
             if machine.session:
+                # Its earlier tasks are gone. Whether the new session is ours alone only a token
+                # can show: an earlier commander may have known it already.
                 self._session_over(now, machine)
             machine.session = report.session
         machine.seq = report.seq
@@ -525,7 +551,6 @@
         machine.images.clear()
         if machine.vacating:
             self._give_back(now, machine, False)
-        self.unsettled.discard(machine.name)
 
     # -- orders ------------------------------------------------------------------------
 
@@ -572,9 +597,12 @@
             p for p in machine.tasks.values()
             if p.active and p.seen and p.stop is not None and p.stop_sent == 0.0
         ]
-        starts = list(machine.starts)
-        if not stops and not starts:
-            return
+        if stops or machine.starts:
+            self._direct(now, machine, stops, list(machine.starts))
+
+    def _direct(
+        self, now: float, machine: Machine, stops: list[Placement], starts: list[Placement]
+    ) -> None:
         commands = []
         for p in stops:
             p.stop_sent = now
@@ -585,17 +613,37 @@
         machine.starts.clear()
         machine.do_in_flight = True
         self.directs += 1
-        body = wire.encode(wire.Direct(machine.token, machine.session, commands))
+        body = wire.encode(wire.Direct(machine.token, max(1, machine.session), commands))
         self.out.calls.append(
             Call(
                 "worker", "POST", wire.PATH_DO,
-                lambda n, o: self._sent_direct(n, o, machine, starts),
+                lambda n, o: self._sent_direct(n, o, machine, starts, bool(commands)),
                 body, self.report_s / 2 + 0.25, machine.address,
             )
         )
 
+    def _probe(self, now: float) -> None:
+        """Ask machines taken over what they hold, without waiting for their reports.
+
+        Orders without commands bring a worker the new token, after which nothing of an earlier
+        commander can be carried out, and its answer names all that is there: as good a proof as a
+        report, and there within milliseconds. Until it is there, no older job may start.
+        """
+        for name in self.unsettled:
+            if self.directs >= self.most_directs:
+                break
+            machine = self.machines[name]
+            if (
+                machine.settled or machine.do_in_flight or machine.releasing
+                or not machine.address or now < max(machine.next_probe, machine.handed_until)
+            ):
+                continue
+            machine.next_probe = now + self.report_s
+            self._direct(now, machine, [], [])
+
     def _sent_direct(
-        self, now: float, outcome: Outcome, machine: Machine, starts: list[Placement]
+        self, now: float, outcome: Outcome, machine: Machine, starts: list[Placement],
+        orders: bool,
     ) -> None:
         machine.do_in_flight = False
         self.directs -= 1
@@ -605,7 +653,7 @@
         if outcome.status in (200, 409):
             report = wire.decode(outcome.body, wire.Report)
         mine = [p for p in starts if machine.tasks.get(p.key) is p and not p.seen]
-        if outcome.status == NOT_SENT:
+        if outcome.status == NOT_SENT and orders:
             # No connection: whatever is there can't be reached, so it gets nothing new for now.
             machine.do_broken_until = now + 2 * self.report_s
             self._strike(now, machine)
@@ -613,7 +661,7 @@
             # Nothing was executed, for certain.
             for p in mine:
                 self._remove(now, machine, p)
-        elif outcome.status != 200 or report is None:
+        elif (outcome.status != 200 or report is None) and orders:
             # Unanswered: it may be executed at any later time, until the worker has seen a
             # higher token or begun another session.
             machine.do_broken_until = now + 2 * self.report_s
@@ -625,6 +673,9 @@
             and report.token >> HANDOVER_SHIFT <= machine.base >> HANDOVER_SHIFT
         )
         if report is not None and newer:
+            if report.session != machine.session:
+                # It was asked under a session that is over; now the right one is known.
+                machine.next_probe = now
             self._take(now, machine, report, False)
         if outcome.status == 200:
             for p in mine:
@@ -693,17 +744,20 @@
         if now >= self.next_scan:
             self.next_scan = now + self.report_s / 4
             self._scan(now)
+        if self.unsettled:
+            self._probe(now)
         self.progress.tick(now)
         if self.dirty and now >= self.next_round:
             self.round(now)
 
     def _scan(self, now: float) -> None:
-        up = [m for m in self.machines.values() if m.up]
+        up = [m for m in self.machines.values() if m.up or m.name in self.unsettled]
         silent = sum(1 for m in up if now - m.contact > self.silence)
         for machine in list(self.machines.values()):
             ended = float("-inf") < machine.last_answer < now - self.lease_s
             if ended and (machine.tasks or machine.name in self.unsettled):
                 self.out.log("info", "lease over", machine=machine.name)
+                self.unsettled.discard(machine.name)
                 self._session_over(now, machine)
             if machine.releasing:
                 continue
@@ -720,9 +774,12 @@
     def _hopeless(self, now: float, machine: Machine, ended: bool, few: bool) -> str:
         """Why a machine should be deleted, if it should; `few`: most others can be heard."""
         quiet = now - machine.contact
-        if ended and not machine.up and machine.recorded:
-            # Known by its record alone and silent for a whole lease: it is gone, or cut off with
-            # nothing on it. Its record would hold up the next change of leader too.
+        waited = now - max(machine.last_answer, self.since)
+        lost = machine.name in self.unsettled and waited > self.lost_s and few
+        if not machine.up and machine.recorded and (ended or lost):
+            # Known by its record alone, and silent for longer than a worker takes to find its way
+            # while others are heard, or for a whole lease: it is gone or cut off. Its record would
+            # hold up all older jobs, and the next change of leader too.
             return "never heard"
         if machine.up and quiet > self.lost_s and (few or quiet > self.lease_s):
             # A silent machine among speaking ones: have the cloud end it, which frees its tasks
@@ -744,7 +801,7 @@
             cpus, gpus, _ = self.machines[name].room()
             ghosts[0] += max(0.0, cpus)
             ghosts[1] += max(0.0, gpus)
-        for kind in self.elsewhere.values():
+        for kind, _, _ in self.elsewhere.values():
             if kind in self.types:
                 ghosts[0] += self.types[kind].cpus
                 ghosts[1] += self.types[kind].gpus
@@ -754,8 +811,23 @@
     def _startable(self, job: Job, now: float) -> bool:
         if now < job.hold_until:
             return False
-        # Tasks of a job from before our time may still run where we have not looked yet.
-        return not ((self.unsettled or self.elsewhere) and job.created <= self.revision)
+        if job.created > self.revision or not (self.unsettled or self.elsewhere):
+            return True
+        # Tasks of a job from before our time may still run where we have not looked yet, but only
+        # on machines that the job allows and that can hold one of its tasks.
+        return not any(
+            kind not in self.types or (
+                allows(job.spec, self.types[kind], zone, spot)
+                and type_fits(job.spec, self.types[kind]))
+            for kind, zone, spot in self._unseen())
+
+    def _unseen(self) -> set[tuple[str, str, bool]]:
+        """The kinds of machines that may hold tasks which we have not seen."""
+        unseen = set(self.elsewhere.values())
+        for name in self.unsettled:
+            machine = self.machines[name]
+            unseen.add((machine.type.name, machine.zone, machine.spot))
+        return unseen
 
     def _claims(self) -> list[allocation.Claim]:
         claims = []
--- a/src/copperpass/net/peers.py
+++ b/src/copperpass/net/peers.py
@@ -6,13 +6,17 @@
 from collections.abc import Callable
 from typing import Any
 
+from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import ClientFactory, Protocol, ServerFactory
+from zope.interface import implementer  # type: ignore[import-untyped]
 
 from copperpass import peer
 from copperpass.settings import split_address
 
 logger = logging.getLogger("copperpass")
 Received = Callable[[str, peer.Frame], None]
+# A stuck link is given up after as many times the wait between two tries to connect.
+STUCK_RETRIES = 12
 
 
 class Incoming(Protocol):
@@ -54,14 +58,48 @@
         return Incoming(self.members, self.received)
 
 
+@implementer(IPushProducer)
+class Link(Protocol):
+    """A connection to another controller; says whether bytes pile up on it."""
+
+    def __init__(self, factory: Outgoing) -> None:
+        self.factory = factory
+        self.stuck_since: float | None = None
+
+    def connectionMade(self) -> None:
+        """Greet."""
+        transport: Any = self.transport
+        self.factory.link = self
+        transport.setTcpNoDelay(True)
+        transport.registerProducer(self, True)
+        transport.write(peer.pack(peer.Hello(self.factory.own)))
+
+    def pauseProducing(self) -> None:
+        """More waits than the transport likes to hold."""
+        self.stuck_since = self.factory.reactor.seconds()
+
+    def resumeProducing(self) -> None:
+        """It has been sent."""
+        self.stuck_since = None
+
+    def stopProducing(self) -> None:
+        """The connection is lost."""
+
+
 class Outgoing(ClientFactory):
-    """The sending end to one controller; frames are dropped while there is no connection."""
+    """The sending end to one controller; frames are dropped while there is no connection.
+
+    They are dropped as well while what was sent before can't leave: every frame is sent again in
+    a newer form, and a cut that holds packets back for minutes must not fill the memory. A link
+    that stays stuck for longer than the other side would wait is closed and made anew.
+    """
 
     noisy = False
+
     def __init__(self, reactor: Any, own: str, addr: str, retry_s: float) -> None:
         self.reactor, self.own, self.retry_s = reactor, own, retry_s
         self.host, self.port = split_address(addr, "members.addr")
-        self.link: Any = None
+        self.link: Link | None = None
 
     def connect(self) -> None:
         """Open the connection."""
@@ -69,15 +107,7 @@
 
     def buildProtocol(self, addr: Any) -> Protocol:
         """Greet once connected."""
-        factory = self
-
-        class Link(Protocol):
-            def connectionMade(self) -> None:
-                factory.link = self.transport
-                factory.link.setTcpNoDelay(True)
-                factory.link.write(peer.pack(peer.Hello(factory.own)))
-
-        return Link()
+        return Link(self)
 
     def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
         """Try again soon."""
@@ -92,9 +122,14 @@
         self.reactor.callLater(self.retry_s, self.connect)
 
     def send(self, data: bytes) -> None:
-        """Send bytes if there is a connection."""
-        if self.link is not None:
-            self.link.write(data)
+        """Send bytes if there is a connection that takes them."""
+        if self.link is None:
+            return
+        transport: Any = self.link.transport
+        if self.link.stuck_since is None:
+            transport.write(data)
+        elif self.reactor.seconds() - self.link.stuck_since > STUCK_RETRIES * self.retry_s:
+            transport.abortConnection()
 
 
 class Peers:
--- a/src/copperpass/peer.py
+++ b/src/copperpass/peer.py
@@ -13,7 +13,7 @@
 
 from copperpass.core.directory import Contact, Entry, Status
 
-MAGIC, VERSION = b"cp", 2
+MAGIC, VERSION = b"cp", 3
 HEADER = struct.Struct("!2sBBI")
 HELLO, BEAT, ASK, PROMISE, COUNTS, HANDED, ANSWERED = range(1, 8)
 PULL, GRANT, ENTRIES, STATUSES, WANTS = range(8, 13)
@@ -217,7 +217,7 @@
 
 def _pack_entry(entry: Entry) -> bytes:
     flags = _flags(entry.spot, entry.recorded, entry.back, entry.vacate, entry.failed, entry.gone,
-                   entry.contact is not None)
+                   entry.proven, entry.contact is not None)
     return (_text(entry.name) + _text(entry.type) + _text(entry.zone)
             + _ENTRY.pack(entry.pool, entry.base, entry.may_hold, flags) + _contact(entry.contact))
 
@@ -225,9 +225,10 @@
 def _read_entry(reader: _Reader) -> Entry:
     name, kind, zone = reader.text(), reader.text(), reader.text()
     pool, base, may_hold, flags = reader.unpack(_ENTRY)
-    spot, recorded, back, vacate, failed, gone, there = (bool(flags >> n & 1) for n in range(7))
+    spot, recorded, back, vacate, failed, gone, proven, there = (
+        bool(flags >> n & 1) for n in range(8))
     return Entry(name, kind, zone, spot, pool, base, may_hold, recorded, back, vacate, failed, gone,
-                 reader.contact(there))
+                 reader.contact(there), proven)
 
 
 def _pack_status(status: Status) -> bytes:
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -136,16 +136,38 @@
     assert holder.until == until and set(holder.owners) == {0}
 
 
-def test_tables_arrive_whole_over_links_that_lose_frames():
+def test_a_pool_of_the_leaders_own_goes_to_a_member_that_comes_back():
+    # The first to lead once kept all pools for good, and its processor served the whole fleet.
+    world = parted()
+    started(world)
+    starts, owner = world.starts, owners(world)[1]
+    world.crash(owner, back_after=6.0)
+    world.run_until(lambda: owners(world).get(1) == world.leader(), 8)
+    world.run_until(lambda: owners(world).get(1) == owner, 4 * world.lease_s)
+    world.submit(job(3, team="blue", tasks=1, run_s=5.0))
+    world.run_until(lambda: running(world, "blue") == 5, 25)
+    assert world.leader() not in owners(world).values()
+    world.run_until(over(world, 1, 2, 3), 300)
+    assert world.starts == starts + 1 and not world.broken
+
+
+def test_tables_arrive_whole_over_links_that_lose_delay_and_repeat_frames():
+    # A batch held back on an old connection once brought back what newer ones had replaced.
     rng = random.Random(4)
-    table, inbox, got = Table(), Inbox(), {}
+    table, inbox, got, late = Table(), Inbox(), {}, []
     feed = Feed(table)
-    for step in range(400):
-        if step < 300:
+    for step in range(600):
+        if step < 400:
             table.put(Status(f"m-{rng.randint(1, 40)}", step))
-        before, upto, entries = feed.next(5)
-        if rng.random() < 0.6 and inbox.takes(before, upto):
-            got.update({e.name: e for e in entries})
+        batch = feed.next(5)
+        if rng.random() < 0.4:
+            late.append(batch)
+        arrived = [batch] if rng.random() < 0.6 else []
+        if late and rng.random() < 0.3:
+            arrived.append(late.pop(rng.randrange(len(late))))
+        for before, upto, entries in arrived:
+            if inbox.takes(before, upto):
+                got.update({e.name: e for e in entries})
         if rng.random() < 0.7:
             feed.acknowledged(inbox.applied)
     assert got == {name: entry for name, (_, entry) in table.entries.items()}
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -7,7 +7,7 @@
 
 from copperpass import settings as settings_module
 from copperpass import wire
-from copperpass.core.directory import Entry, base_token
+from copperpass.core.directory import ANYBODY, Contact, Entry, base_token
 from copperpass.core.jobs import JobTable
 from copperpass.core.ledger import Ledger
 from copperpass.core.owner import Owner
@@ -36,6 +36,12 @@
         self.report([], token=0)
         self.report([])
 
+    def take_over(self, name, **more):
+        """Learn of a machine that an earlier commander may have used."""
+        self.owner.learn(self.now, Entry(
+            name, "box", "a", True, 0, base_token(1, 9), ANYBODY, recorded=True, **more))
+        return self.owner.machines[name]
+
     def report(self, tasks, token=None, session=1, seq=None):
         self.now += 1.0
         if seq is None:
@@ -179,7 +185,7 @@
 
 def test_a_late_write_does_not_make_an_old_job_look_new():
     bench = Bench()
-    bench.owner.unsettled.add("m-9")
+    bench.take_over("m-9")
     young = json.dumps({"spec": job(1, tasks=2)}).encode()
     old = json.dumps({"spec": job(2, tasks=2), "done": "AQ=="}).encode()
     for number, record in ((1, young), (2, old)):
@@ -189,6 +195,55 @@
     assert not bench.owner._startable(jobs["req-000002"], bench.now)
 
 
+def test_what_is_unseen_holds_up_only_jobs_that_may_be_there():
+    bench = Bench()
+    bench.take_over("m-9")
+    for number, zone in ((1, None), (2, "b"), (3, "a")):
+        record = json.dumps({"spec": job(number, hall=zone)}).encode()
+        bench.jobs.saw(bench.now, f"c/live/req-{number:06d}", record, 40)
+    startable = {i: bench.owner._startable(j, bench.now) for i, j in bench.jobs.jobs.items()}
+    assert startable == {"req-000001": False, "req-000002": True, "req-000003": False}
+
+
+def test_a_machine_taken_over_is_asked_at_once_and_its_answer_settles_it():
+    bench = Bench()
+    bench.add(version=40)
+    machine = bench.take_over("m-9", contact=Contact("10.0.0.8:1", 3, 0))
+    bench.owner.tick(bench.now)
+    (probe,) = bench.take("worker")
+    sent = json.loads(probe.body)
+    assert (probe.address, sent["shift"], sent["orders"]) == ("10.0.0.8:1", 3, [])
+
+    def answer(session, token, seq):
+        tasks = [wire.TaskReport("req-000001/0", 5, "running", None)]
+        return wire.encode(wire.Report(
+            "m-9", "10.0.0.8:1", "box", "a", True, session, seq, token, None, tasks))
+
+    # Its session has changed since: that answer shows no new token, so it proves nothing.
+    probe.then(bench.now, Outcome(409, answer(4, 1, 7)))
+    assert not machine.settled and bench.owner.unsettled == {"m-9"}
+    bench.owner.tick(bench.now)
+    (probe,) = bench.take("worker")
+    assert json.loads(probe.body)["shift"] == 4
+    probe.then(bench.now, Outcome(200, answer(4, machine.base, 8)))
+    assert machine.settled and not bench.owner.unsettled and bench.job.placed == {0: "m-9"}
+
+
+def test_an_unanswered_probe_proves_nothing_and_is_sent_again_later():
+    bench = Bench()
+    bench.add(version=40)
+    machine = bench.take_over("m-9", contact=Contact("10.0.0.8:1", 3, 0))
+    for _ in range(3):
+        bench.owner.tick(bench.now)
+        (probe,) = bench.take("worker")
+        probe.then(bench.now, Outcome(0))
+        bench.owner.tick(bench.now)
+        assert not bench.take("worker")
+        assert not bench.owner._startable(bench.job, bench.now)
+        bench.now += bench.owner.report_s
+    assert machine.name in bench.owner.unsettled and not machine.settled
+
+
 def test_a_higher_authority_is_not_talked_over():
     bench = Bench()
     assert bench.report([], token=base_token(1, 2)) is None
