--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -205,6 +205,40 @@
     wait_for(lambda: len(got) == 2)
 
 
+def test_a_link_that_takes_no_bytes_drops_frames_and_is_made_anew(reactor):
+    # A cut that holds packets back for minutes must not fill the memory of the sender.
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port = probe.getsockname()[1]
+    deaf = socket.create_server(("127.0.0.1", port))
+    peers = Peers(reactor, "n0", f"127.0.0.1:{port}", {"n1": f"127.0.0.1:{port}"},
+                  lambda *a: None, 0.02)
+    link = peers.outgoing["n1"]
+    on_reactor(reactor, link.connect)
+    wait_for(lambda: link.link is not None)
+    first, frame = link.link, peer.Handed(1, b"x" * 60000)
+    sent = []
+
+    def send():
+        sent.append(len(frame.body))
+        peers.send("n1", frame)
+
+    def stuck():
+        on_reactor(reactor, send)
+        return first.stuck_since is not None
+
+    wait_for(stuck)
+    held = sum(sent)
+    for _ in range(100):
+        on_reactor(reactor, send)
+    # What waits in the process stays what it was when the link got stuck, whatever is sent.
+    assert sum(sent) > held and len(first.transport.dataBuffer) + sum(
+        map(len, first.transport._tempDataBuffer)) < 4 * 65536
+    wait_for(lambda: on_reactor(reactor, send) or link.link not in (first, None))
+    link._again = lambda: None
+    deaf.close()
+
+
 def toml(raw):
     s = raw["settings"]
     lines = [f'{k} = "{raw[k]}"' for k in ("member", "domain", "serve_on", "internal_addr")]
