Patient work's room isn't warm room; a zone that falls silent as a whole is kept

Change: room taken by patient work doesn't count as warm room where some class can't wait for a boot; silence is judged by zone too, and a silent zone waits for four leases.

--- a/src/copperpass/core/dispatch.py
+++ b/src/copperpass/core/dispatch.py
@@ -37,6 +37,10 @@
         waits = self.waits.get(job_class)
         return min(waits) if waits else None
 
+    def urgent(self, boot_s: float) -> bool:
+        """Whether the tasks of some class should start sooner than a machine boots."""
+        return any(min(waits) < boot_s for waits in self.waits.values())
+
     def due(self, job: Job, now: float) -> float:
         """When the next task must start for the nearest aim that can still be met."""
         spec = job.spec
--- a/src/copperpass/core/landlord.py
+++ b/src/copperpass/core/landlord.py
@@ -33,6 +33,8 @@
 # The length of a grant, as a part of the leader key's life.
 GRANT_PER_TTL = 0.6
 POOL_WINDOW = 2.4
+# The part of patient work's room that doesn't count as warm room for work that can't wait.
+PATIENT_PART = 1.0
 UNKNOWN_REVISION = (1 << 62) - 1
 
 
@@ -161,6 +163,7 @@
         self.peaks = {n: rental.Peak(window) for n in self.pools}
         self.calls = Budget(0.9 * cluster.cloud.rps, max(1.8 * cluster.cloud.rps, 2.0))
         self.dear_excess = True
+        self.patient_left = self.taken = 0.0
         self.allocations: allocation.Allocation | None = None
         self.booking = 0
         self.renting: dict[str, tuple[Place, int, int]] = {}
@@ -521,6 +524,7 @@
     def _demand(self, now: float) -> tuple[float, dict[int, float]]:
         """CPUs of work that can't wait for a boot, in all and by pool."""
         tight: dict[int, float] = dict.fromkeys(self.pools, 0.0)
+        patient = 0.0
         jobs = list(self.jobs.jobs.values())
         dispatch.judge_guarantees(jobs, {t.name: t.cpus for t in self.cluster.teams})
         self.scarce.note(now, jobs)
@@ -533,6 +537,9 @@
             if within and job.spec.team in self.pool_of:
                 left = job.spec.tasks - job.done_count - len(job.finished)
                 tight[self.pool_of[job.spec.team]] += left * job.spec.cpus
+            else:
+                patient += (job.spec.tasks - job.done_count) * job.spec.cpus
+        self.patient_left = patient
         return sum(tight.values()), tight
 
     def _plan(self, now: float) -> None:
@@ -546,7 +553,12 @@
         warm = rental.Warm(self.peak.value(), self.cheap_peak.value())
         serving = self._serving()
         room = sum(h.type.cpus for h in serving)
-        self.dear_excess = room > warm.any
+        used = sum(h.used_cpus for h in serving)
+        # Where a class can't wait for a boot: else nothing is gained by keeping room beside work
+        # that can wait, and a good deal is paid for it.
+        apart = PATIENT_PART if self.aims.urgent(self.boot_s) else 0.0
+        self.taken = apart * min(self.patient_left, max(0.0, used - total))
+        self.dear_excess = room - self.taken > warm.any
         mixes = self._mixes()
         self.allocations = self._allocate(serving, mixes)
         order = sorted(self.pools.values(), key=lambda p: self._fullness(p, serving, mixes))
@@ -698,7 +710,8 @@
         self, now: float, warm: rental.Warm, serving: list[Held], room: float,
         wanted: dict[tuple[Place, int], int], zones: dict[str, int],
     ) -> None:
-        total = room + sum(self.types[p[0]].cpus * n for p, n, _ in self.renting.values())
+        total = room - self.taken
+        total += sum(self.types[p[0]].cpus * n for p, n, _ in self.renting.values())
         total += sum(self.types[place[0]].cpus * n for (place, _), n in wanted.items())
         dear = {name for names in self.scarce.seen for name in names}
         cover = self._cover(serving)
@@ -747,7 +760,7 @@
     def _return_idle(self, now: float, warm: rental.Warm) -> None:
         """Ask back the dearest idle machines beyond the warm room."""
         serving = self._serving()
-        total = sum(h.type.cpus for h in serving)
+        total = sum(h.type.cpus for h in serving) - self.taken
         idle_s = self.tuning.idle_boots * self.boot_s
         idle = [h for h in serving if h.spare and not h.entry.back
                 and now - max(h.idle_since, h.up_at) >= idle_s]
--- a/src/copperpass/core/owner.py
+++ b/src/copperpass/core/owner.py
@@ -4,7 +4,7 @@
 
 import heapq
 from collections import OrderedDict, deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from copperpass import wire
 from copperpass.core import allocation, dispatch, rental
@@ -38,9 +38,36 @@
 EPOCH_SHIFT, SERIAL_SHIFT = 44, 28
 # The part of a pool's room that overdue work gets before work that can still be in time.
 LATE_PART = 0.5
+# A zone that is silent as a whole is waited for as many leases before its machines are deleted.
+CUT_LEASES = 4.0
 Images = dict[str, "OrderedDict[str, float]"]
 
 
+class Silence:
+    """How many of the machines that should be heard are silent, in all and in each zone."""
+
+    def __init__(
+        self, machines: Iterable[Machine], unsettled: set[str], now: float, silence: float
+    ) -> None:
+        self.zones: dict[str, list[int]] = {}
+        for machine in machines:
+            if machine.up or machine.name in unsettled:
+                counts = self.zones.setdefault(machine.zone, [0, 0])
+                counts[0] += now - machine.contact > silence
+                counts[1] += 1
+        self.silent = sum(counts[0] for counts in self.zones.values())
+        self.all = sum(counts[1] for counts in self.zones.values())
+
+    def few(self, zone: str) -> bool:
+        """Whether most others can be heard, in all and in the zone."""
+        return self.silent * 3 <= self.all and not self.cut(zone)
+
+    def cut(self, zone: str) -> bool:
+        """Whether most of a zone can't be heard, and it is more than a machine or two."""
+        silent, known = self.zones.get(zone, (0, 0))
+        return silent * 2 > known and silent > 2
+
+
 class Owner:
     """Commands the machines of one pool of teams; a new one is made for each ownership."""
 
@@ -751,8 +778,7 @@
             self.round(now)
 
     def _scan(self, now: float) -> None:
-        up = [m for m in self.machines.values() if m.up or m.name in self.unsettled]
-        silent = sum(1 for m in up if now - m.contact > self.silence)
+        silence = Silence(self.machines.values(), self.unsettled, now, self.silence)
         for machine in list(self.machines.values()):
             ended = float("-inf") < machine.last_answer < now - self.lease_s
             if ended and (machine.tasks or machine.name in self.unsettled):
@@ -761,7 +787,7 @@
                 self._session_over(now, machine)
             if machine.releasing:
                 continue
-            why = self._hopeless(now, machine, ended, silent * 3 <= len(up))
+            why = self._hopeless(now, machine, ended, silence)
             if why:
                 self.out.log("info", "machine given up", machine=machine.name, why=why)
                 machine.releasing = True
@@ -771,19 +797,22 @@
                 self._store(now, job)
         self.dirty = True
 
-    def _hopeless(self, now: float, machine: Machine, ended: bool, few: bool) -> str:
-        """Why a machine should be deleted, if it should; `few`: most others can be heard."""
+    def _hopeless(self, now: float, machine: Machine, ended: bool, silence: Silence) -> str:
+        """Why a machine should be deleted, if it should."""
+        few, cut = silence.few(machine.zone), silence.cut(machine.zone)
+        patience = CUT_LEASES * self.lease_s if cut else self.lease_s
         quiet = now - machine.contact
         waited = now - max(machine.last_answer, self.since)
         lost = machine.name in self.unsettled and waited > self.lost_s and few
-        if not machine.up and machine.recorded and (ended or lost):
+        if not machine.up and machine.recorded and (lost or (ended and waited > patience)):
             # Known by its record alone, and silent for longer than a worker takes to find its way
             # while others are heard, or for a whole lease: it is gone or cut off. Its record would
             # hold up all older jobs, and the next change of leader too.
             return "never heard"
-        if machine.up and quiet > self.lost_s and (few or quiet > self.lease_s):
+        if machine.up and quiet > self.lost_s and (few or quiet > patience):
             # A silent machine among speaking ones: have the cloud end it, which frees its tasks
-            # sooner than its lease would.
+            # sooner than its lease would. A whole zone is rather cut off than dead: its machines
+            # are worth more when it is back than new ones, which would report to nobody either.
             return "silent"
         if machine.up and not machine.settled and now - machine.up_at > self.lease_s:
             # It speaks, but for a whole lease no answer has reached it: its session is over by
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -8,6 +8,7 @@
 from copperpass import settings as settings_module
 from copperpass import wire
 from copperpass.core.directory import ANYBODY, Contact, Entry, base_token
+from copperpass.core.fleet import Machine
 from copperpass.core.jobs import JobTable
 from copperpass.core.ledger import Ledger
 from copperpass.core.owner import Owner
@@ -183,6 +184,40 @@
     assert bench.job.placed == {}
 
 
+def fleet_of(bench, zones):
+    for number, zone in enumerate(zones):
+        machine = Machine(f"m-{number:03d}", bench.owner.types["box"], zone, True)
+        machine.up = machine.settled = True
+        machine.up_at = bench.now
+        machine.last_report = machine.last_answer = bench.now
+        bench.owner.machines[machine.name] = machine
+    return list(bench.owner.machines.values())[1:]
+
+
+def test_a_zone_that_falls_silent_is_not_deleted_while_a_few_lost_machines_are():
+    # A zone's machines were deleted early in a cut and rented anew where nobody hears them.
+    bench = Bench()
+    machines = fleet_of(bench, "aaaabbbbcccc")
+    owner, at = bench.owner, bench.now
+    bench.now = at + owner.lost_s + 0.1
+    lost = machines[5]
+    for machine in machines:
+        if machine.zone != "a" and machine is not lost:
+            machine.last_report = machine.last_answer = bench.now
+    owner._scan(bench.now)
+    assert not any(m.releasing for m in machines)
+    # Once the zone speaks again, what stays silent alone goes.
+    for machine in machines[:4]:
+        machine.last_report = machine.last_answer = bench.now
+    owner._scan(bench.now)
+    assert [m.name for m in machines if m.releasing] == [lost.name]
+    # A zone that stays silent for several leases is given up all the same.
+    for machine in machines[4:]:
+        machine.last_report = machine.last_answer = bench.now + 5 * owner.lease_s
+    owner._scan(bench.now + 5 * owner.lease_s)
+    assert all(m.releasing for m in machines[:4])
+
+
 def test_a_late_write_does_not_make_an_old_job_look_new():
     bench = Bench()
     bench.take_over("m-9")
