--- a/src/copperpass/core/dispatch.py
+++ b/src/copperpass/core/dispatch.py
@@ -60,6 +60,16 @@
         overdue = job.arrived + self.patience_s
         return overdue if now > overdue else job.arrived + LATE
 
+    def needed(self, job: Job, now: float) -> float:
+        """By when there should be room for the next task: as `due`, but never out of sight.
+
+        Work without an aim ahead comes last, yet its wait has a bound, and by then the machines
+        must be there: counted as never due, it rented nothing while the fleet was busy with work
+        whose aim was far off, and less than half of it was served.
+        """
+        due = self.due(job, now)
+        return due if due < job.arrived + LATE else job.arrived + self.patience_s
+
     def overdue(self, job: Job, now: float) -> bool:
         """Whether no aim can be met any more and the job has waited for longer than it should."""
         return now > job.arrived + self.patience_s and self.due(job, now) < now
--- a/src/copperpass/core/owner.py
+++ b/src/copperpass/core/owner.py
@@ -298,7 +298,7 @@
             taken[spec.team] += count * spec.cpus
             if spec.cpus > 0:
                 count = min(count, max(0, int(room / spec.cpus)))
-            horizon = max(0.0, self.aims.due(job, now) - now)
+            horizon = max(0.0, self.aims.needed(job, now) - now)
             left = rental.fill(rooms, spec, count, horizon, self.scarce.closed_to(spec))
             if left > 0:
                 unmet.append((spec.id, left, horizon))
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -1,11 +1,13 @@
 """Who starts next and where: bounded waits, and room for the largest."""
 
 import json
+import random
 
 import pytest
 
 from copperpass import wire
-from copperpass.core.dispatch import Aims, Scarce, share_late, task_order
+from copperpass.core.dispatch import Aims, Ranking, Scarce, share_late, task_order
+from copperpass.core.fleet import Machine
 from copperpass.core.jobs import make_job
 from copperpass.settings import Objective
 from tests.world import TYPE, job
@@ -83,3 +85,37 @@
     alone = [old]
     share_late(alone, aims, 200.0, used=16.0, quota=16.0)
     assert alone == [old]
+
+
+def test_a_round_takes_the_machine_that_a_look_at_all_of_them_would_take():
+    # Machines are judged once a round and again where something was started: same choices, by seed.
+    rng = random.Random(7)
+    offer = types(("small", 8.0), ("large", 32.0))
+    for _ in range(40):
+        machines = {}
+        for number in range(12):
+            kind = offer[rng.choice(["small", "large"])]
+            machine = Machine(f"m-{number}", kind, rng.choice("abc"), rng.random() < 0.5)
+            machine.used_cpus = float(rng.randint(0, int(kind.cpus)))
+            if rng.random() < 0.4:
+                machine.images["img-1"] = 0.5
+            machines[machine.name] = machine
+        jobs = [made(n, 0.0, cpus=rng.choice([1.0, 4.0]), tasks=6, same_place=rng.random() < 0.3,
+                     borrowed=rng.random() < 0.7) for n in (1, 2)]
+        more = {"closed": set(), "cheap_only": False, "tight": rng.random() < 0.5}
+        roomy, log = list(machines.values()), []
+        kept = [Ranking(j, roomy, machines, 0.0, **more) for j in jobs]
+        for index in range(6):
+            for each, ranking in zip(jobs, kept, strict=True):
+                chosen = ranking.best(log)
+                afresh = Ranking(each, roomy, machines, 0.0, **more)
+                assert (chosen is None) == (afresh.best([]) is None)
+                if chosen is None:
+                    continue
+                best = afresh.best([])
+                assert ranking._score(chosen) == afresh._score(best)
+                chosen.used_cpus += each.spec.cpus
+                chosen.used_memory += each.spec.memory_gb
+                chosen.images[each.spec.image] = each.spec.image_gb
+                each.placed[index] = chosen.name
+                log.append(chosen)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -184,6 +184,25 @@
     assert bench.job.placed == {}
 
 
+def test_work_without_an_aim_asks_for_machines_before_its_wait_is_over():
+    # Never due, it counted on room that others keep taking: less than half of a class was served.
+    bench = Bench()
+    running = job(1, tasks=4, slot="none", run_s=100.0)
+    bench.jobs.saw(bench.now, "c/live/req-000001", json.dumps({"spec": running}).encode(), 70)
+    bench.owner.round(bench.now)
+    (call,) = bench.take("worker")
+    takes = [(o["page"], o["take"], "running", None) for o in json.loads(call.body)["orders"]]
+    call.then(bench.now, Outcome(200, wire.encode(bench.message(takes, seq=bench.seq + 1))))
+    bench.seq += 1
+    waiting = job(2, tasks=4, slot="none", run_s=100.0)
+    bench.jobs.saw(bench.now, "c/live/req-000002", json.dumps({"spec": waiting}).encode(), 71)
+    assert bench.owner.wants(bench.now) == [], "the room that ends before its wait does is enough"
+    later = bench.now + 100.0
+    bench.owner.machines["m-1"].last_report = later
+    ((name, count, left),) = bench.owner.wants(later)
+    assert (name, count) == ("req-000002", 4) and 0 < left < 30
+
+
 def fleet_of(bench, zones):
     for number, zone in enumerate(zones):
         machine = Machine(f"m-{number:03d}", bench.owner.types["box"], zone, True)
