Jobs keep the time of day of their submission: waits outlast a restart of all controllers

Change: the record of a job holds the time of day; a process turns it into its own clock when it first sees it.

--- a/src/copperpass/core/jobs.py
+++ b/src/copperpass/core/jobs.py
@@ -136,8 +136,10 @@
             self.again.append(index)
 
 
-def make_job(record: wire.JobRecord, version: int, now: float) -> Job | None:
-    """A job from its record."""
+def make_job(
+    record: wire.JobRecord, version: int, now: float, day: float = 0.0
+) -> Job | None:
+    """A job from its record; `day` is the time of day less the steady clock's."""
     if record.spec is None:
         return None
     done = unpack_done(record.done, record.spec.tasks)
@@ -145,7 +147,10 @@
     # A record with ends was changed after its creation, maybe by a late write of an earlier leader
     # after our win: its version doesn't prove that the job is younger than the win.
     created = version if count == 0 else 0
-    return Job(record.spec, version, now, created, done, count)
+    # A process that has just started sees jobs that came long ago: by its own clock all of them
+    # would be new, and every restart of all controllers would begin each wait afresh.
+    arrived = min(now, record.at - day) if record.at else now
+    return Job(record.spec, version, arrived, created, done, count)
 
 
 @dataclass(slots=True)
@@ -153,6 +158,8 @@
     """All jobs that are not over."""
 
     jobs: dict[str, Job] = field(default_factory=dict)
+    # The time of day less the steady clock's, as it was when the process started.
+    day: float = 0.0
     # Records of ends, each of many jobs: key -> job -> done tasks.
     pages: dict[str, dict[str, str]] = field(default_factory=dict)
 
@@ -181,7 +188,7 @@
         if record is None:
             return None, False
         if job is None:
-            job = make_job(record, version, now)
+            job = make_job(record, version, now, self.day)
             if job is not None:
                 self.jobs[job_id] = job
                 for page in self.pages.values():
--- a/src/copperpass/core/node.py
+++ b/src/copperpass/core/node.py
@@ -40,7 +40,8 @@
     """Takes inputs; leaves calls, replies and log lines in its outbox."""
 
     def __init__(
-        self, settings: Settings, seed: int, now: float, tuning: Tuning | None = None
+        self, settings: Settings, seed: int, now: float, tuning: Tuning | None = None,
+        day: float = 0.0,
     ) -> None:
         cluster = settings.cluster
         self.settings, self.cluster = settings, cluster
@@ -51,9 +52,9 @@
         self.ttl = self.times.ttl
         timeout = self.ttl / 3
         self.ledger = Ledger(self.out, cluster.state.write_rps, cluster.state.txn_ops, timeout)
-        self.desk = UserDesk(cluster, self.out, self.ledger, 1.6)
+        self.desk = UserDesk(cluster, self.out, self.ledger, 1.6, day)
         self.desk.counts = self.counts_of
-        self.jobs = JobTable()
+        self.jobs = JobTable(day=day)
         self.fleet: tuple[wire.FleetRecord | None, int] = (None, 0)
         self.versions: dict[str, int] = {}
         self.authority = Authority(
--- a/src/copperpass/core/users.py
+++ b/src/copperpass/core/users.py
@@ -71,7 +71,12 @@
 class UserDesk:
     """Answers users; the same on every node, whoever leads."""
 
-    def __init__(self, cluster: Cluster, out: Outbox, ledger: Ledger, read_timeout: float) -> None:
+    def __init__(
+        self, cluster: Cluster, out: Outbox, ledger: Ledger, read_timeout: float,
+        day: float = 0.0,
+    ) -> None:
+        # The time of day less the steady clock's.
+        self.day = day
         self.cluster, self.out, self.ledger = cluster, out, ledger
         self.read_timeout = read_timeout
         self.types: dict[str, wire.MachineType] = {}
@@ -106,7 +111,7 @@
         except Verdict as verdict:
             self._refuse(now, request, spec.id, verdict)
             return
-        record = {"spec": msgspec.to_builtins(spec)}
+        record = {"spec": msgspec.to_builtins(spec), "at": round(now + self.day, 1)}
         op = Op(
             {LIVE + spec.id: 0, OVER + spec.id: 0},
             [wire.put(LIVE + spec.id, record)],
--- a/src/copperpass/net/service.py
+++ b/src/copperpass/net/service.py
@@ -28,7 +28,11 @@
     def __init__(self, settings: Settings, tuning: Tuning, reactor: Any) -> None:
         self.settings, self.reactor = settings, reactor
         self.now = time.monotonic
-        self.node = Node(settings, int.from_bytes(os.urandom(8), "big"), self.now(), tuning)
+        # The time of day wanders, so only its distance at the start is used, and only to know how
+        # long a job has waited already.
+        self.node = Node(
+            settings, int.from_bytes(os.urandom(8), "big"), self.now(), tuning,
+            time.time() - self.now())
         self.peers = Peers(
             reactor, settings.name, settings.peer_listen,
             {m.name: m.addr for m in settings.members}, self._received,
--- a/src/copperpass/wire.py
+++ b/src/copperpass/wire.py
@@ -269,9 +269,13 @@
 
 
 class JobRecord(msgspec.Struct, omit_defaults=True):
-    """The one record of a job: its spec, its final state, its done tasks."""
+    """The one record of a job: its spec, its final state, its done tasks.
+
+    `at`: the time of day when it was submitted; 0 if that isn't known.
+    """
 
     spec: Spec | None = None
+    at: float = 0.0
     final: str = ""
     done: str = ""
     count: int = 0
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -1,10 +1,13 @@
 """Short stories of whole days, played by real cores against stand-ins in memory."""
 
 import functools
+import json
 import random
 
 import pytest
 
+from copperpass import wire
+from copperpass.core.jobs import make_job
 from tests.world import WorkerRequest, World, job
 
 
@@ -69,6 +72,25 @@
     assert world.starts == starts and not world.broken
 
 
+def test_a_restart_of_all_controllers_does_not_begin_each_wait_afresh():
+    world = World()
+    world.run_until(world.leader)
+    at = world.now
+    world.submit(job(1, tasks=2, run_s=300.0))
+    world.run(40.0)
+    for name in world.names:
+        world.crash(name, 2.0)
+    world.run_until(lambda: world.leader() is not None, 20)
+    world.run(1.0)
+    (known,) = world.nodes[world.leader()].jobs.jobs.values()
+    assert abs(known.arrived - at) < 2.0
+    # A record without the time, or a clock that runs ahead, makes a job new, never one of later.
+    record = wire.decode(json.dumps({"spec": job(2)}).encode(), wire.JobRecord)
+    assert make_job(record, 5, 50.0, 1000.0).arrived == 50.0
+    record.at = 2000.0
+    assert make_job(record, 5, 50.0, 1000.0).arrived == 50.0
+
+
 def test_tasks_outlive_a_state_outage_longer_than_their_lease():
     world = World()
     world.run_until(world.leader)
--- a/tests/world.py
+++ b/tests/world.py
@@ -444,7 +444,7 @@
         index = self.names.index(name)
         made = settings_module.parse(
             raw_settings(index, len(self.names), self.lease_s, self.cancel_s, self.cores))
-        self.nodes[name] = Node(made, self.rng.getrandbits(32), self.now)
+        self.nodes[name] = Node(made, self.rng.getrandbits(32), self.now, day=1000.0)
         self.tick(name, self.life[name])
 
     def crash(self, name, back_after=2.0):
