Fake workers run gangs: gathering, alone, mates gone, orderly stops, hanging machines

The world keeps a registry of gangs by job and attempt, counts those that gave up and the time that members waited, and notes progress that a partial stop threw away. Tasks that wait or save count as on their machine.

--- a/tests/world.py
+++ b/tests/world.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import functools
 import heapq
 import itertools
 import json
@@ -24,7 +25,8 @@
 }
 
 
-def raw_settings(index=0, nodes=3, lease_s=12.0, cancel_s=40.0, cores=1.0):
+def raw_settings(index=0, nodes=3, lease_s=12.0, cancel_s=40.0, cores=1.0,
+                 gang_wait_s=42.0, gang_peer_s=4.0):
     names = [f"n{i}" for i in range(nodes)]
     zones = ["a", "b", "c"]
     return {
@@ -47,7 +49,8 @@
                 {"kind": "finished", "class": "slow", "within_s": 200.0, "share": 0.9},
                 {"kind": "guarantee", "within_s": 5.0, "share": 0.9},
             ],
-            "workers": {"report_s": 1.0, "lease_s": lease_s, "cancel_s": cancel_s},
+            "workers": {"report_s": 1.0, "lease_s": lease_s, "cancel_s": cancel_s,
+                        "gang_wait_s": gang_wait_s, "gang_peer_s": gang_peer_s},
             "state": {"rps": 200.0, "write_rps": 60.0, "value_kb": 32.0, "txn_ops": 16},
             "cloud": {"rps": 8.0, "list_lag_s": 3.0},
             "resources": {"cores": cores},
@@ -179,6 +182,214 @@
             reply(200, json.dumps({"issue": self.revision, "news": events}).encode())
 
 
+class Gang:
+    """The tasks of one attempt of a gang, and what they know of each other.
+
+    A task is a member from the moment it has its image until it is gone.
+    """
+
+    def __init__(self, world, job_id, attempt):
+        self.world, self.job_id, self.attempt = world, job_id, attempt
+        self.spec = world.specs[job_id]
+        self.members = {}  # (worker, key of the task) -> what the worker notes of it
+        self.started = self.broken = self.safe = self.over = self.late = False
+        self.progress, self.since, self.speed, self.turn = 0.0, None, 1.0, 0
+        self.first_stop, self.told = None, set()
+
+    # -- waiting
+
+    def join(self, worker, key, mark):
+        mark.update(state="gathering", at=self.world.now)
+        self.members[worker, key] = mark
+        self.world.started(worker, key[0], self.spec)
+        others = [g for (j, a), g in self.world.gangs.items()
+                  if j == self.job_id and a != self.attempt and g.members]
+        if others:
+            self.world.broken.append(f"two_attempts: {key} beside {others[0].attempt}")
+        if key[0] in self.world.completed:
+            worker.end(key, "done")
+            return
+        if worker.sick or self.spec.get("broken"):
+            self.world.after(0.2, lambda: self.leave(worker, key, mark, "error"))
+        self.world.after(
+            self.world.gang_wait_s, lambda: self.leave(worker, key, mark, "alone", "gathering"))
+        self.begin()
+
+    def begin(self):
+        """Start together, once every task has its image and executes."""
+        ready = {key[0] for (worker, key), _ in self.members.items() if not worker.hung_for()}
+        if self.started or len(ready) < self.spec["pages"]:
+            return
+        self.started = True
+        for mark in self.members.values():
+            self.world.waited += self.world.now - mark.pop("at")
+            mark["state"] = "running"
+        self.speed = min(worker.speed for worker, _ in self.members)
+        self.progress = self.world.progress.get(self.job_id, 0.0)
+        self.go()
+
+    def leave(self, worker, key, mark, why, only=None, **more):
+        """Exit by itself, once its machine executes it."""
+        if worker.tasks.get(key) is not mark or mark["state"] == "exited" or (
+                only and mark["state"] != only):
+            return
+        if worker.hung_for():
+            self.world.after(worker.hung_for() + 0.01,
+                             lambda: self.leave(worker, key, mark, why, only, **more))
+            return
+        if why == "alone":
+            self.world.alone.add((self.job_id, self.attempt))
+        worker.end(key, why, **more)
+
+    # -- running
+
+    def length(self):
+        if self.job_id not in self.world.lengths:
+            self.world.lengths[self.job_id] = (
+                self.world.gang_rng.uniform(0.5, 1.5) * self.spec["runtime_s"])
+        return self.world.lengths[self.job_id]
+
+    def go(self):
+        self.since = self.world.now
+        self.turn += 1
+        turn, left = self.turn, max(0.0, self.length() - self.progress) / self.speed
+        self.world.after(left, lambda: turn == self.turn and self.finish())
+
+    def rest(self):
+        """Progress stops."""
+        if self.since is not None:
+            self.progress += (self.world.now - self.since) * self.speed
+        self.since = None
+        self.turn += 1
+
+    def finish(self):
+        self.rest()
+        self.over = True
+        self.world.completed.update(f"{self.job_id}/{i}" for i in range(self.spec["pages"]))
+        for worker, key in list(self.members):
+            worker.end(key, "done")
+
+    def checkpoint(self):
+        every, kept = self.spec["proof_s"], self.world.progress.get(self.job_id, 0.0)
+        return max(kept, int(self.progress / every + 1e-9) * every) if every > 0 else 0.0
+
+    def gone(self, worker, key, mark):
+        """A member has exited, or its machine is gone."""
+        if self.members.pop((worker, key), None) is None:
+            return  # it never had its image
+        if "at" in mark:
+            self.world.waited += self.world.now - mark.pop("at")
+        elif self.started and not self.over and not self.safe:
+            self.fail()
+
+    def fail(self, within=None):
+        """A running gang has lost a task: the others notice in time and exit."""
+        if self.broken:
+            return
+        self.fall_back()
+        within = self.world.gang_peer_s if within is None else within
+        for (worker, key), mark in self.members.items():
+            wait = self.world.gang_rng.uniform(0.3, 1.0) * within
+            self.world.after(wait, functools.partial(
+                self.leave, worker, key, mark, "mates_gone"))
+
+    def fall_back(self):
+        self.rest()
+        self.broken = True
+        self.world.progress[self.job_id] = self.checkpoint()
+
+    def hangs(self, worker):
+        if not self.started or self.broken or self.safe or self.over:
+            return
+        self.rest()
+        until, within = worker.hung_until, self.world.gang_peer_s
+        wait = self.world.gang_rng.uniform(0.3, 0.7) * within
+
+        def notice():
+            if (worker.hung_for() and worker.hung_until == until and not self.safe
+                    and any(w is worker for w, _ in self.members)):
+                self.fail(within - wait)
+
+        self.world.after(wait, notice)
+
+    def resumes(self):
+        self.begin()
+        if self.started and not self.broken and not self.over:
+            if self.first_stop is not None:
+                self.let_go()
+            elif self.since is None and not any(w.hung_for() for w, _ in self.members):
+                self.go()
+
+    # -- stopping
+
+    def stop(self, worker, key, mark, grace):
+        if mark["state"] == "gathering" or self.broken:
+            worker.end(key, "halted")
+        elif mark["state"] == "flushing":
+            if grace <= 0:
+                self.lost("ended while it saved")
+                worker.end(key, "halted")
+        else:
+            if self.first_stop is None:
+                self.first_stop = self.world.now
+                self.rest()
+                self.world.after(self.world.gang_peer_s, self.deadline)
+            if self.spec["proof_s"] <= 0 or grace < self.spec["flush_s"]:
+                self.lost("too little grace")
+                worker.end(key, "halted")
+                return
+            self.told.add(key[0])
+            mark["state"] = "flushing"
+            self.world.after(self.spec["flush_s"], lambda: self.saved(worker, key, mark))
+
+    def saved(self, worker, key, mark):
+        if worker.tasks.get(key) is not mark or mark["state"] != "flushing":
+            return
+        if worker.hung_for():
+            self.world.after(worker.hung_for() + 0.01, lambda: self.saved(worker, key, mark))
+            return
+        mark["kept"] = True
+        if self.broken:
+            worker.end(key, "halted")
+        else:
+            self.let_go()
+
+    def deadline(self):
+        """No task waits longer than this for the others to be told."""
+        self.late = True
+        if self.broken or self.safe or self.over:
+            return
+        if len(self.told) == self.spec["pages"]:
+            self.let_go()
+            return
+        self.lost("not all told in time")
+        self.fall_back()
+        for (worker, key), mark in list(self.members.items()):
+            if mark["state"] == "running":
+                self.leave(worker, key, mark, "mates_gone")
+            elif mark.get("kept"):
+                self.leave(worker, key, mark, "halted")
+
+    def let_go(self):
+        """Exit with the progress safe, when all are told and have saved or no time is left."""
+        if len(self.told) < self.spec["pages"]:
+            return
+        ready = [m for m in self.members.items() if m[1].get("kept")]
+        if ready and (self.late or self.safe or len(ready) == len(self.members)):
+            if not self.safe:
+                self.safe = True
+                self.world.progress[self.job_id] = self.progress
+            for (worker, key), mark in ready:
+                self.leave(worker, key, mark, "halted", saved=True)
+
+    def lost(self, why):
+        """The service has thrown progress away that it could have kept."""
+        loss = self.progress - self.checkpoint()
+        if (self.started and not (self.broken or self.safe or self.over) and loss > 1e-6
+                and self.spec["proof_s"] > 0 and self.job_id not in self.world.unwanted):
+            self.world.lost_saves.append((self.job_id, self.attempt, why, round(loss, 3)))
+
+
 class Worker:
     """A machine and the tasks on it."""
 
@@ -190,6 +401,8 @@
         self.alive = True
         self.sick = False
         self.notice = None
+        self.hung_until = 0.0
+        self.speed = 1.0 - 0.1 * random.Random(name).random()
         self.sent = []
         self.node = world.rng.randrange(len(world.names))
         world.after(0.01, self.report)
@@ -199,11 +412,37 @@
         if not self.alive:
             return
         if self.world.now - self.renewed > self.world.lease_s:
-            self.tasks.clear()
+            self.drop_all()
             self.session += 1
             self.renewed = self.world.now
         self.world.after(0.1, self.watch_lease)
 
+    def drop_all(self):
+        """All tasks are gone without an exit."""
+        dropped, self.tasks = self.tasks, {}
+        for key, mark in dropped.items():
+            if "gang" in mark and mark["state"] != "exited":
+                mark["gang"].gone(self, key, mark)
+
+    def hang(self, seconds):
+        """Execute, report and answer nothing for a while."""
+        self.hung_until = max(self.hung_until, self.world.now + seconds)
+        for mark in list(self.tasks.values()):
+            mark["late"] = mark.get("late", 0.0) + seconds
+            if "gang" in mark:
+                mark["gang"].hangs(self)
+        self.world.after(seconds, self.resume)
+
+    def resume(self):
+        if self.alive and not self.hung_for():
+            for mark in list(self.tasks.values()):
+                if "gang" in mark:
+                    mark["gang"].resumes()
+
+    def hung_for(self):
+        left = self.hung_until - self.world.now
+        return left if left > 1e-6 else 0.0
+
     def body(self):
         self.seq += 1
         tasks = []
@@ -211,6 +450,8 @@
             entry = {"page": task, "take": attempt, "status": t["state"]}
             if t["state"] == "exited":
                 entry["cause"] = t["why"]
+                if t.get("saved"):
+                    entry["saved"] = True
             tasks.append(entry)
         return json.dumps({
             "press": self.name, "address": self.name, "rack": "box", "hall": self.zone,
@@ -220,6 +461,9 @@
     def report(self):
         if not self.alive:
             return
+        if self.hung_for():
+            self.world.after(self.hung_for() + 0.01, self.report)
+            return
         sent, session = self.world.now, self.session
         target = self.world.names[self.node]
         answered = []
@@ -227,6 +471,9 @@
         def reply(status, body):
             if answered or not self.alive:
                 return
+            if self.hung_for():
+                self.world.after(self.hung_for() + 0.01, lambda: reply(0, b"{}"))
+                return
             answered.append(True)
             if status == 200:
                 answer = json.loads(body)
@@ -252,6 +499,9 @@
     def direct(self, raw, reply):
         if not self.alive:
             return
+        if self.hung_for():
+            self.world.after(self.hung_for() + 0.01, lambda: self.direct(raw, reply))
+            return
         order = json.loads(raw)
         if order["baton"] < self.token or order["shift"] != self.session:
             reply(409, self.body())
@@ -266,7 +516,10 @@
             if order["verb"] == "run":
                 self.start(key)
             elif order["verb"] == "kill" and key in self.tasks:
-                if self.tasks[key]["state"] != "exited":
+                mark = self.tasks[key]
+                if "gang" in mark and mark["state"] not in ("pulling", "exited"):
+                    mark["gang"].stop(self, key, mark, order.get("windup_s") or 0.0)
+                elif mark["state"] != "exited":
                     self.end(key, "halted")
             elif order["verb"] == "clear" and self.tasks.get(key, {}).get("state") == "exited":
                 del self.tasks[key]
@@ -276,38 +529,68 @@
             return
         task, _ = key
         spec = self.world.specs.get(task.split("/")[0])
-        why = None
+        why = self.world.refusals.pop(task, None)
         used = sum(t["cpus"] for t in self.tasks.values() if t["state"] != "exited")
-        if spec is None:
+        if why:
+            pass
+        elif spec is None:
             why = "unknown"
         elif any(other[0] == task for other in self.tasks):
             why = "in_use"
         elif used + spec["cpus"] > 16.0 + 1e-6:
             why = "no_room"
         if why:
-            self.tasks[key] = {"state": "exited", "why": why, "cpus": 0.0}
+            self.tasks[key] = {"state": "exited", "why": why, "cpus": 0.0, "saved": False}
             return
         self.tasks[key] = {"state": "pulling", "cpus": spec["cpus"]}
         mark = self.tasks[key]
-        self.world.after(0.3, lambda: self.begin(key, mark, spec))
+        if spec["form"] == "ensemble":
+            mark["gang"] = self.world.gang(task.split("/")[0], key[1])
+        fetch_s = self.world.fetch_s.get(task, 0.3)
+        self.world.after(fetch_s, lambda: self.begin(key, mark, spec))
 
     def begin(self, key, mark, spec):
         if not self.alive or self.tasks.get(key) is not mark or mark["state"] != "pulling":
             return
+        if self.held_up(mark, lambda: self.begin(key, mark, spec)):
+            return
+        if "gang" in mark:
+            mark["gang"].join(self, key, mark)
+            return
         mark["state"] = "running"
         self.world.started(self, key[0], spec)
         wait = 0.2 if self.sick else self.world.rng.uniform(0.5, 1.5) * spec["runtime_s"]
         why = "error" if self.sick or spec.get("broken") else "done"
-        self.world.after(wait, lambda: self.tasks.get(key) is mark and self.end(key, why))
 
-    def end(self, key, why):
-        if self.alive and self.tasks[key]["state"] != "exited":
-            self.tasks[key].update(state="exited", why=why)
+        def over():
+            if self.tasks.get(key) is mark and not self.held_up(mark, over):
+                self.end(key, why)
+
+        self.world.after(wait, over)
+
+    def held_up(self, mark, action):
+        """Whether the machine hung meanwhile: then the action is only due that much later."""
+        late = mark.pop("late", 0.0)
+        if late:
+            self.world.after(late, action)
+        return bool(late)
+
+    def end(self, key, why, saved=False):
+        mark = self.tasks[key]
+        if self.alive and mark["state"] != "exited":
+            mark.update(state="exited", why=why, saved=saved)
             if why == "done":
                 self.world.completed.add(key[0])
+            if "gang" in mark:
+                mark["gang"].gone(self, key, mark)
 
     def on_it(self):
-        return [k[0] for k, t in self.tasks.items() if t["state"] == "running"]
+        """The tasks that are on this machine: from the image to the exit."""
+        return [k[0] for k, t in self.tasks.items()
+                if t["state"] in ("gathering", "running", "flushing")]
+
+    def in_state(self, state):
+        return [k for k, t in self.tasks.items() if t["state"] == state]
 
 
 class Cloud:
@@ -334,6 +617,7 @@
             reply(200, json.dumps({"presses": self.bookings[ask["booking"]]}).encode())
         elif path == "/rentals/release":
             for name in json.loads(body)["presses"]:
+                self.returned(name)
                 self.take(name)
             reply(200, b"{}")
         else:
@@ -359,7 +643,16 @@
         machine = self.machines.pop(name, None)
         if machine and machine["worker"]:
             machine["worker"].alive = False
-            machine["worker"].tasks.clear()
+            machine["worker"].drop_all()
+
+    def returned(self, name):
+        """The service gives a machine back: a gang that runs there loses progress."""
+        machine = self.machines.get(name)
+        if machine and machine["worker"]:
+            for mark in machine["worker"].tasks.values():
+                if "gang" in mark and mark["state"] in ("running", "flushing"):
+                    mark["gang"].rest()
+                    mark["gang"].lost("machine returned")
 
     def workers(self):
         return [m["worker"] for m in self.machines.values() if m["worker"]]
@@ -382,12 +675,22 @@
 class World:
     """The clock, the network and the checks of the rules."""
 
-    def __init__(self, seed=1, nodes=3, lease_s=12.0, cancel_s=40.0, parted=False):
+    def __init__(self, seed=1, nodes=3, lease_s=12.0, cancel_s=40.0, parted=False,
+                 gang_wait_s=None, gang_peer_s=4.0):
         # Below a bound on guarantees for each core all teams have one owner.
         self.cores = 0.01 if parted else 1.0
         self.rng = random.Random(seed)
         self.now, self.queue, self.order = 100.0, [], itertools.count()
         self.lease_s, self.cancel_s = lease_s, cancel_s
+        self.gang_wait_s, self.gang_peer_s = gang_wait_s or 3.5 * lease_s, gang_peer_s
+        # Gangs by job and attempt; of their jobs the true length and the saved progress.
+        self.gangs, self.lengths, self.progress = {}, {}, {}
+        self.gang_rng = random.Random(seed + 7777)
+        # Gangs of which a task gave up, seconds that members waited, progress thrown away,
+        # jobs whose users asked to cancel; tasks whose images come slower or whose next start
+        # is refused.
+        self.alone, self.waited, self.lost_saves = set(), 0.0, []
+        self.unwanted, self.fetch_s, self.refusals = set(), {}, {}
         self.names = [f"n{i}" for i in range(nodes)]
         self.state, self.cloud = State(self), Cloud(self)
         self.specs, self.completed, self.cancelled = {}, set(), {}
@@ -443,7 +746,8 @@
         self.life[name] += 1
         index = self.names.index(name)
         made = settings_module.parse(
-            raw_settings(index, len(self.names), self.lease_s, self.cancel_s, self.cores))
+            raw_settings(index, len(self.names), self.lease_s, self.cancel_s, self.cores,
+                         self.gang_wait_s, self.gang_peer_s))
         self.nodes[name] = Node(made, self.rng.getrandbits(32), self.now, day=1000.0)
         self.tick(name, self.life[name])
 
@@ -562,8 +866,14 @@
         return self.ask(lambda desk, user: desk.poll(self.now, user, job_id), name)
 
     def cancel(self, job_id, name=None):
+        self.unwanted.add(job_id)
         return self.ask(lambda desk, user: desk.cancel(self.now, user, job_id), name)
 
+    def gang(self, job_id, attempt):
+        if (job_id, attempt) not in self.gangs:
+            self.gangs[job_id, attempt] = Gang(self, job_id, attempt)
+        return self.gangs[job_id, attempt]
+
     # -- the rules
 
     def check_answer(self, user):
