--- a/tests/world.py
+++ b/tests/world.py
@@ -70,6 +70,12 @@
     return body
 
 
+def gang(number, tasks=4, cpus=8.0, **more):
+    """A job whose tasks run together: by default on two machines of one zone."""
+    return job(number, tasks=tasks, cpus=cpus,
+               **{"form": "ensemble", "same_place": True, "proof_s": 5.0, "flush_s": 1.0, **more})
+
+
 class State:
     """The state service: keys, leases, guarded transactions and watches."""
 
