Authority is bound by how fresh the view is: refused alone, stuck watches, chains of owners

Cause: authority hung on the leader key's renewals and on grants; nothing tied it to what a controller had seen. One whose watch is refused or stuck could renew leases and start tasks without ever seeing a cancellation. Now orders and 200s need a view that is younger than the bridge bound, counted from the sending of the last answered list or watch; beats tell how fresh a view is, and who is well behind gives its pools or the lead up before the bound. An owner that has not begun doesn't renew machines with tasks of which it can't know if their job is over.

--- a/src/copperpass/core/authority.py
+++ b/src/copperpass/core/authority.py
@@ -79,11 +79,14 @@
         rng: random.Random,
         on_change: Callable[[float, bool, bool], None],
         now: float,
+        fresh_at: Callable[[], float] = lambda: float("inf"),
     ) -> None:
         self.member, self.others, self.times = member, others, times
         self.ttl = times.ttl
         self.out, self.ledger, self.rng = out, ledger, rng
         self.on_change = on_change
+        # What was confirmed before this moment is known here.
+        self.fresh_at = fresh_at
         self.lead: wire.LeadRecord | None = None
         self.lead_version = 0
         self.counter = 0
@@ -149,16 +152,26 @@
                 self.counter, self.counter_version = record.token, version
                 self.counter_holder = record.member
 
+    def fresh_until(self) -> float:
+        """Until when this node's view is fresh enough to command anybody.
+
+        Guards cancelled jobs: a key that is renewed, or a grant that is pulled, says nothing of
+        what this node has seen. Who acts on an older view may keep alive what it never saw end.
+        """
+        return self.fresh_at() + self.times.bridge * (1 - 2 * DRIFT)
+
     def entitled(self, now: float) -> bool:
         """Whether this node may act for the controllers at this moment."""
-        return self.leading and (now < self.lease_until or self.bridged(now))
+        backed = now < self.lease_until or self.bridged(now)
+        return self.leading and backed and now < self.fresh_until()
 
     def remaining(self, now: float) -> float:
         """For how long the authority certainly lasts from here on."""
         if not self.leading:
             return 0.0
         promised = min((self.promised.get(o, 0.0) for o in self.others), default=float("inf"))
-        return max(0.0, self.lease_until - now, min(promised, self.bridge_until) - now)
+        backed = max(self.lease_until, min(promised, self.bridge_until))
+        return max(0.0, min(backed, self.fresh_until()) - now)
 
     def bridged(self, now: float) -> bool:
         """Whether the others' promises carry the authority without the key."""
--- a/src/copperpass/core/holder.py
+++ b/src/copperpass/core/holder.py
@@ -23,9 +23,12 @@
 
     def __init__(
         self, member: str, incarnation: int, ttl: float, plan_s: float, out: Outbox,
-        make: MakeOwner,
+        make: MakeOwner, fresh_until: Callable[[], float] = lambda: float("inf"),
     ) -> None:
         self.member, self.incarnation, self.out, self.make = member, incarnation, out, make
+        self.fresh_until = fresh_until
+        # Whether to ask for grants at all; not while others see more than this member.
+        self.asking = True
         self.pull_s = GRANT_PER_TTL * ttl / PULLS_PER_GRANT
         self.plan_s = plan_s
         self.epoch = 0
@@ -80,7 +83,7 @@
         """Whether this member's pools are its own at this moment."""
         if self.landlord is not None:
             return self.landlord.authority.entitled(now)
-        return now < self.until
+        return now < min(self.until, self.fresh_until())
 
     # -- time ---------------------------------------------------------------------------
 
@@ -91,7 +94,7 @@
         landlord = self.landlord
         if landlord is not None:
             self._local(now, landlord)
-        elif now >= self.next_pull:
+        elif now >= self.next_pull and self.asking:
             self.next_pull = now + self.pull_s
             self.number = (self.number + 1) & 0xFFFFFFFF
             self.asked[self.number] = now
--- a/src/copperpass/core/node.py
+++ b/src/copperpass/core/node.py
@@ -59,12 +59,12 @@
         self.versions: dict[str, int] = {}
         self.authority = Authority(
             settings.name, [m.name for m in settings.members], self.times, self.out,
-            self.ledger, self.rng, self._authority_changed, now,
+            self.ledger, self.rng, self._authority_changed, now, lambda: self.view.fresh_at,
         )
         self.relay = Relay(self.out, cluster.workers.lease_s, cluster.workers.report_s)
         self.view = View(self.out, self._saw, self.ttl / 2, timeout)
         self.now = now
-        self.last_state = now
+        # How fresh the views of the others are, by their beats.
         self.peer_state: dict[str, float] = {}
         self.peer_heard: dict[str, float] = {}
         self.alone_token = -1
@@ -74,7 +74,7 @@
         self.pools = pools_of(cluster, self.tuning)
         self.holder = Holder(
             settings.name, self.rng.getrandbits(62) + 1, self.ttl,
-            cluster.workers.report_s / 4, self.out, self._make_owner)
+            cluster.workers.report_s / 4, self.out, self._make_owner, self.authority.fresh_until)
         self.landlord: Landlord | None = None
         self.types: dict[str, wire.MachineType] = {}
         self.next_types = 0.0
@@ -106,6 +106,9 @@
                 landlord.begin(now)
             landlord.tick(now)
             self._feed_tenants(landlord)
+        # An owner whose view falls behind that of others stops asking: its grant ends, and the
+        # leader gives the pool to somebody who can see, long before the bound on its view.
+        self.holder.asking = not self._behind()
         self.holder.tick(now, self.view.revision)
         if self.landlord is not None:
             self._mind_isolation(now, self.landlord)
@@ -158,10 +161,6 @@
         else:
             self.authority.received(now, sender, frame)
 
-    def state_answered(self, now: float) -> None:
-        """The state service has answered a request of this node."""
-        self.last_state = now
-
     def report(self, now: float, request: object, body: bytes) -> None:
         """POST /v1/report."""
         report = wire.decode(body, wire.Report)
@@ -237,12 +236,12 @@
             return False
         # In an outage all nodes are alike, and leaving would only delay the return. A node that
         # is refused alone, while others are served, should take no requests.
-        return not self._behind(now)
+        return not self._behind()
 
-    def _behind(self, now: float) -> bool:
-        """Whether another node has reached the state service well after this one last did."""
+    def _behind(self) -> bool:
+        """Whether another node's view is well fresher than this one's."""
         latest = max(self.peer_state.values(), default=float("-inf"))
-        return latest - self.last_state > self.ttl
+        return latest - self.view.fresh_at > self.ttl
 
     def counts_of(self, job_id: str) -> tuple[int, int]:
         """How many tasks of a job are done and run, as far as this node knows; for display."""
@@ -302,7 +301,8 @@
             self.cluster, self.out, self.ledger, self.jobs, self.types, self.versions,
             pool=share.pool, pools=self.pools, epoch=holder.epoch, serial=share.serial,
             revision=share.revision, token_version=lambda: holder.token_version,
-            entitled=holder.entitled, now=self.now, tuning=self.tuning, images=holder.images)
+            entitled=holder.entitled, now=self.now, tuning=self.tuning, images=holder.images,
+            fresh_at=lambda: self.view.fresh_at)
 
     def _mind_isolation(self, now: float, landlord: Landlord) -> None:
         """Step down when neither workers nor other controllers can be heard.
@@ -319,9 +319,10 @@
         ):
             self.alone_token = self.authority.token
             self.authority.step_down(now, "nobody heard", self.cluster.workers.lease_s)
-        if self.authority.bridging(now) and self._behind(now):
-            # The state service refuses this node alone: another can lead with it.
-            self.authority.step_down(now, "refused alone by the state service", self.ttl)
+        if self._behind():
+            # The state service refuses this node alone, or its watch is stuck while its key is
+            # still renewed: another sees more and can lead.
+            self.authority.step_down(now, "view behind that of others", self.ttl)
 
     def _beat(self, now: float) -> None:
         self.next_beat = now + self.times.promise / 4
@@ -329,7 +330,8 @@
         def age(at: float) -> int:
             return min(peer.NEVER - 1, int((now - at) * 1000)) if at > 0 else peer.NEVER
 
-        beat = peer.Beat(self.authority.counter, age(self.last_state))
+        # How fresh the view is: every answered request would say less of what this node can see.
+        beat = peer.Beat(self.authority.counter, age(self.view.fresh_at))
         for other in self.authority.others:
             self.out.send(other, beat)
         if self.owners and now >= self.next_counts:
--- a/src/copperpass/core/owner.py
+++ b/src/copperpass/core/owner.py
@@ -90,6 +90,7 @@
         now: float,
         tuning: Tuning | None = None,
         images: Images | None = None,
+        fresh_at: Callable[[], float] = lambda: float("-inf"),
     ) -> None:
         self.cluster, self.out, self.ledger, self.jobs = cluster, out, ledger, jobs
         self.types = types
@@ -100,6 +101,8 @@
         # Jobs created after this revision can't have been started by an earlier owner.
         self.revision = revision
         self.entitled = entitled
+        # What was confirmed before this moment is in the view.
+        self.fresh_at = fresh_at
         self.tuning = tuning or Tuning()
         self.images: Images = images if images is not None else {}
         self.scarce = dispatch.Scarce(types, self.tuning.keep_scarce_s)
@@ -324,6 +327,8 @@
         if handed:
             machine.handed_until = now + 2 * self.report_s
         self._take(now, machine, report, True)
+        if self._doubtful(now, machine):
+            return None
         if machine.settled:
             # Only two-way contact counts as hearing workers: a report alone may be a late copy.
             self.last_report = now
@@ -427,7 +432,8 @@
     def _adopt(self, now: float, machine: Machine, key: tuple[str, int, int]) -> Placement:
         """A task of an earlier authority."""
         p = Placement(
-            key[0], key[1], key[2], machine.name, GHOST, "", 0, 0.0, 0.0, 0.0, "", 0.0, seen=True
+            key[0], key[1], key[2], machine.name, GHOST, "", 0, 0.0, 0.0, 0.0, "", 0.0, seen=True,
+            sent_at=now,
         )
         machine.tasks[key] = p
         machine.stale = True
@@ -456,13 +462,32 @@
                 elif other != machine.name:
                     p.stop, p.stopping_for = 0.0, "duplicate"
             return
-        if self.ready:
-            # The view is newer than our win, so the job is over: its tasks must go.
+        if self._knows_over(p):
             if p.active:
                 p.stop, p.stopping_for = 0.0, "job over"
             else:
                 p.stored = True
 
+    def _knows_over(self, p: Placement) -> bool:
+        """Whether a task whose job is not in the view is certainly of a job that is over.
+
+        The view is newer than our win, or than the report that showed the task: when it was
+        started its job was there.
+        """
+        return self.ready or self.fresh_at() > p.sent_at
+
+    def _doubtful(self, now: float, machine: Machine) -> bool:
+        """Whether a machine has tasks of which nobody here knows if their job is over.
+
+        To renew its lease would keep them alive. One owner may do so for a moment, until its view
+        has caught up; but owners that follow one another while the state service is away would do
+        it for good, and a job cancelled before that would go on past any bound.
+        """
+        if self.ready or now - self.fresh_at() < self.lease_s / 4:
+            return False
+        return any(p.team == GHOST and p.active and not p.foreign and p.stop is None
+                   for p in machine.tasks.values())
+
     def _update(self, now: float, machine: Machine, p: Placement, task: wire.TaskReport) -> None:
         was_active = p.active
         p.seen = True
@@ -476,7 +501,7 @@
                 if task.state in (wire.TASK_RUNNING, wire.SAVING) and not p.running_at:
                     p.running_at = now
                 p.state = task.state
-                if job is None and self.ready and p.stop is None:
+                if job is None and p.stop is None and self._knows_over(p):
                     p.stop, p.stopping_for = 0.0, "job over"
             return
         if not was_active:
@@ -489,7 +514,7 @@
                 machine=machine.name, ran=round(now - p.running_at, 1) if p.running_at else 0,
             )
         if p.team == GHOST and job is None:
-            p.stored = self.ready
+            p.stored = self._knows_over(p)
             return
         self.dirty = True
         mine = job is not None and job.placed.get(p.index) == machine.name
--- a/src/copperpass/core/view.py
+++ b/src/copperpass/core/view.py
@@ -23,13 +23,17 @@
         self.keys: dict[str, int] = {}
         self.fresh: set[str] = set()
         self.since = 0
-        self.last_contact = float("-inf")
+        # All changes that were confirmed before this moment are known here: when the last request
+        # was *sent* that has been answered in full. See "Freshness" in docs/design.md.
+        self.fresh_at = float("-inf")
+        self.sent_at = float("-inf")
 
     def tick(self, now: float) -> None:
         """Start the next request when none runs."""
         if self.busy or now < self.next_try:
             return
         self.busy = True
+        self.sent_at = now
         if not self.listed:
             self.since, self.fresh = 0, set()
             self._list("")
@@ -46,7 +50,6 @@
         if page is None:
             self._fail(now)
             return
-        self.last_contact = now
         if not self.since:
             self.since = page.revision
         for item in page.items:
@@ -59,6 +62,9 @@
             if key not in self.fresh and version <= self.since:
                 self._take(now, key, None, self.since)
         self.revision = max(self.revision, self.since)
+        # Counted from the first page's sending, and only now that the list is whole: until then a
+        # job that is over may still be in the view.
+        self.fresh_at = max(self.fresh_at, self.sent_at)
         self.listed, self.busy = True, False
         self.tick(now)
 
@@ -77,13 +83,13 @@
         if news is None:
             self._fail(now)
             return
-        self.last_contact = now
         for event in news.events:
             if event.put is not None:
                 self._take(now, event.put, bytes(event.value), event.version)
             elif event.delete is not None:
                 self._take(now, event.delete, None, event.version)
         self.revision = max(self.revision, news.revision)
+        self.fresh_at = max(self.fresh_at, self.sent_at)
         self.busy = False
         self.tick(now)
 
--- a/src/copperpass/net/service.py
+++ b/src/copperpass/net/service.py
@@ -156,8 +156,6 @@
             try:
                 if status == NOT_SENT and call.service != "worker":
                     status = NO_ANSWER
-                if call.service == "state" and status in (200, 404, 409):
-                    self.node.state_answered(self.now())
                 call.then(self.now(), Outcome(status, body))
             except Exception:
                 logger.exception("an answer could not be handled")
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -22,6 +22,7 @@
     def __init__(self):
         cluster = settings_module.parse(raw_settings()).cluster
         self.out, self.jobs, self.now = Outbox(), JobTable(), 10.0
+        self.fresh_at = float("-inf")
         ledger = Ledger(self.out, 60.0, 16, 1.0)
         types = {"box": wire.decode(json.dumps({"racks": [TYPE]}).encode(), wire.MachineTypes)
                  .types[0]}
@@ -29,7 +30,8 @@
         self.owner = Owner(
             cluster, self.out, ledger, self.jobs, types, {}, pool=0,
             pools={t.name: 0 for t in cluster.teams}, epoch=1, serial=1, revision=50,
-            token_version=lambda: 50, entitled=lambda now: True, now=self.now)
+            token_version=lambda: 50, entitled=lambda now: True, now=self.now,
+            fresh_at=lambda: self.fresh_at)
         self.entry = Entry("m-1", "box", "a", True, 0, self.token, recorded=True)
         self.owner.learn(self.now, self.entry)
         self.owner.begin(self.now)
@@ -361,3 +363,17 @@
     bench.owner._scan(bench.now)
     (write,) = bench.take("state")
     assert [w.get("put") for w in json.loads(write.body)["writes"]] == [None, "d/job/req-000001"]
+
+
+def test_an_owner_that_has_not_begun_does_not_keep_alive_what_may_be_cancelled():
+    bench = Bench()
+    bench.owner.ready = False
+    task = [("req-000009/0", 7, "running", None)]
+    bench.fresh_at = bench.now
+    assert bench.report(task) is not None, "a moment's lag is no reason to lose a task"
+    bench.now += 10.0
+    assert bench.report(task) is None, "its job may have been cancelled long ago"
+    # The view catches up to after the report that showed the task: the job is over for certain.
+    bench.fresh_at = bench.now
+    answer = bench.report(task)
+    assert [(c.op, c.task) for c in answer.commands] == [("kill", "req-000009/0")]
--- a/tests/world.py
+++ b/tests/world.py
@@ -92,7 +92,7 @@
                 self.log.append((self.revision, key, None))
             self.wake()
 
-    def handle(self, method, path, body, reply):
+    def handle(self, method, path, body, reply, asker=""):
         self.expire()
         if self.down:
             if not path.startswith("/follow"):
@@ -116,7 +116,7 @@
                 "truncated": len(keys) > len(page), "issue": self.revision}).encode())
         elif path.startswith("/follow"):
             query = dict(part.split("=") for part in path.split("?")[1].split("&"))
-            watch = [query["under"], int(query["since"]), reply]
+            watch = [query["under"], int(query["since"]), reply, asker]
             self.watches.append(watch)
             self.world.after(int(query["block_ms"]) / 1000, lambda: self.answer(watch, True))
             self.wake()
@@ -166,9 +166,10 @@
             self.answer(watch, False)
 
     def answer(self, watch, timed_out):
-        if watch not in self.watches or self.down:
+        prefix, since, reply, asker = watch
+        if watch not in self.watches or self.down or asker in self.world.refused:
+            # Also the open watches of a node that is refused alone wait as in an outage.
             return
-        prefix, since, reply = watch
         news = [e for e in self.log if e[0] > since and e[1].startswith(prefix)]
         if news or timed_out:
             self.watches.remove(watch)
@@ -394,7 +395,8 @@
         self.told, self.broken = {}, []
         self.nodes, self.life = {}, dict.fromkeys(self.names, 0)
         self.cuts, self.held, self.deaf = set(), [], set()
-        self.refused = set()
+        # Whom the state service refuses alone, and whose watches and lists get no answer.
+        self.refused, self.stuck = set(), set()
         self.starts = 0
         for name in self.names:
             self.boot(name)
@@ -515,8 +517,6 @@
                 return
             over.append(True)
             if self.life[name] == life and name in self.nodes:
-                if call.service == "state" and status in (200, 404, 409):
-                    self.nodes[name].state_answered(self.now)
                 call.then(self.now, Outcome(status, body))
                 self.drain(name)
 
@@ -528,7 +528,9 @@
                 if name in self.refused:
                     reply(503, b"{}")
                 else:
-                    self.state.handle(call.method, call.path, call.body, reply)
+                    if name in self.stuck and call.path.startswith(("/follow", "/kv?")):
+                        return
+                    self.state.handle(call.method, call.path, call.body, reply, name)
             elif call.service == "cloud":
                 self.cloud.handle(call.method, call.path, call.body, reply)
             else:
