--- a/src/copperpass/core/dispatch.py
+++ b/src/copperpass/core/dispatch.py
@@ -4,10 +4,11 @@
 
 import heapq
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from copperpass import wire
 from copperpass.core.fleet import Machine, Placement, allows, type_fits, zone_allows
-from copperpass.core.jobs import Job, fits
+from copperpass.core.jobs import EPS, Job, fits
 from copperpass.settings import Objective
 
 LATE = 1e6
@@ -165,8 +166,10 @@
     def __init__(
         self, job: Job, roomy: Iterable[Machine], machines: dict[str, Machine], now: float, *,
         closed: set[str], cheap_only: bool, tight: bool, since: int = 0,
+        kept: frozenset[str] = frozenset(),
     ) -> None:
         self.job, self.machines, self.now = job, machines, now
+        self.kept = kept
         self.closed, self.cheap_only, self.tight = closed, cheap_only, tight
         self.since = since
         self.heap: list[tuple[tuple[float, ...], int, Machine]] = []
@@ -187,8 +190,14 @@
             return None
         if (self.cheap_only and not machine.spot) or kind.name in self.closed:
             return None
-        if machine.held_from(spec.id, self.now):
-            # Room that was freed by stopping tasks is for the job they were stopped for.
+        if machine.held_from(spec.id, self.now) and not (
+            self.now + 2 * spec.estimate_s < machine.held_ready
+        ):
+            # Room that was freed by stopping tasks is for the job they were stopped for; room that
+            # is held for a gang serves short work until the gang's other room is free.
+            return None
+        if spec.spot and machine.name in self.kept:
+            # Ordinary room is kept for work that may not use any other.
             return None
         left = kind.cpus - machine.used_cpus - spec.cpus
         fetch = 0.0
@@ -292,6 +301,120 @@
     return min(ran, 1.0) if checkpoint_s > 0 else ran
 
 
+@dataclass(slots=True)
+class GangPlan:
+    """Where the tasks of a gang go, all at once, and when the last of them has its image."""
+
+    places: list[tuple[int, Machine]]
+    cost: tuple[float, ...]
+
+
+def _slots(spec: wire.Spec, room: tuple[float, float, float], most: int) -> int:
+    """How many tasks fit into a room, up to `most`."""
+    count = most
+    for need, have in zip((spec.cpus, spec.gpus, spec.memory_gb), room, strict=True):
+        if need > 0:
+            count = min(count, int((have + EPS) / need))
+    return max(0, count)
+
+
+def _zones(job: Job, zones: set[str], machines: dict[str, Machine]) -> list[set[str]]:
+    """The sets of zones one of which must take all that is missing of a gang."""
+    if not job.spec.one_zone:
+        return [zones]
+    taken = {machines[n].zone if n in machines else "?" for n in job.placed.values()}
+    return [{zone} for zone in sorted(zones) if taken <= {zone}]
+
+
+def plan_gang(ranking: Ranking, machines: dict[str, Machine]) -> GangPlan | None:
+    """Place all missing tasks of a gang, or none of them.
+
+    Of the zones that have room for the whole, the one where it starts soonest: the gang starts with
+    its last image. On few machines rather than on many: it runs at the speed of the slowest.
+    """
+    job = ranking.job
+    spec, missing = job.spec, job.missing()
+    offers = [(score, m) for score, _, m in ranking.heap]
+    best: GangPlan | None = None
+    most = (spec.tasks + 1) // 2 if spec.spread else spec.tasks
+    for zones in _zones(job, {m.zone for _, m in offers}, machines):
+        counts: dict[str, int] = {}
+        for name in job.placed.values():
+            where = machines[name].zone if name in machines else "?"
+            counts[where] = counts.get(where, 0) + 1
+        places: list[tuple[int, Machine]] = []
+        used: list[tuple[float, ...]] = []
+        need = len(missing)
+        here = [(score, m, _slots(spec, m.room(), need)) for score, m in offers if m.zone in zones]
+        # Where it has failed last, without a fetch first, whole before in parts, cheap before dear.
+        here.sort(key=lambda o: (o[0][0], o[0][3], -o[2], *o[0][1:], o[1].name))
+        left = list(missing)
+        for score, machine, slots in here:
+            if not left:
+                break
+            free = min(slots, most - counts.get(machine.zone, 0)) if spec.spread else slots
+            # A refused start of this attempt is still there: the machine would ignore another.
+            mine = [i for i in left if (spec.id, i, job.attempt) not in machine.tasks][:free]
+            if not mine:
+                continue
+            counts[machine.zone] = counts.get(machine.zone, 0) + len(mine)
+            places += [(i, machine) for i in mine]
+            left = [i for i in left if i not in mine]
+            used.append(score)
+        if left:
+            continue
+        cost = (max(s[0] for s in used), max(s[3] for s in used), float(len(used)),
+                sum(s[2] for s in used) / len(used))
+        if best is None or cost < best.cost:
+            best = GangPlan(places, cost)
+    return best
+
+
+def gang_hold(
+    job: Job, usable: list[Machine], machines: dict[str, Machine], now: float, kept: frozenset[str]
+) -> tuple[list[Machine], float] | None:
+    """The machines where a gang will find room for all its tasks soonest, and when."""
+    spec, need = job.spec, len(job.missing())
+    allowed = [m for m in usable if allows(spec, m.type, m.zone, m.spot)
+               and type_fits(spec, m.type) and not m.held_from(spec.id, now)]
+    best: tuple[float, int, list[Machine]] | None = None
+    most = (spec.tasks + 1) // 2 if spec.spread else spec.tasks
+    for zones in _zones(job, {m.zone for m in allowed}, machines):
+        # Each machine's free places, one after the other, by when they are there.
+        offers: list[tuple[float, bool, str, Machine]] = []
+        for machine in allowed:
+            if machine.zone not in zones:
+                continue
+            room, had = list(machine.room()), 0
+            tasks = sorted(((remaining(p, now), p) for p in machine.tasks.values() if p.active),
+                           key=lambda pair: pair[0])
+            ready = 0.0
+            for left, p in [*tasks, (0.0, None)]:
+                slots = _slots(spec, (room[0], room[1], room[2]), need)
+                offers += [(ready, machine.name not in kept, machine.name, machine)] * (slots - had)
+                had = max(had, slots)
+                if p is not None:
+                    ready = left
+                    for n, amount in enumerate((p.cpus, p.gpus, p.memory_gb)):
+                        room[n] += amount
+        offers.sort(key=lambda o: o[:3])
+        counts: dict[str, int] = {}
+        chosen: list[tuple[float, Machine]] = []
+        for ready, _, _, machine in offers:
+            if len(chosen) == need:
+                break
+            if spec.spread and counts.get(machine.zone, 0) >= most:
+                continue
+            counts[machine.zone] = counts.get(machine.zone, 0) + 1
+            chosen.append((ready, machine))
+        if len(chosen) == need:
+            last = chosen[-1][0]
+            hold = list({m.name: m for _, m in chosen}.values())
+            if best is None or (last, len(hold)) < best[:2]:
+                best = (last, len(hold), hold)
+    return (best[2], now + best[0]) if best else None
+
+
 def victims(
     job: Job,
     machine: Machine,
@@ -300,15 +423,27 @@
     under: bool,
     now: float,
 ) -> list[Placement] | None:
-    """The tasks to stop on a machine so that one task of the job fits, or None."""
+    """The tasks to stop on a machine so that one task of the job fits, or None.
+
+    A gang is made room for as a whole, where a single machine can take it.
+    """
     spec = job.spec
+    times = len(job.missing()) if spec.gang else 1
+    needs = (spec.cpus * times, spec.gpus * times, spec.memory_gb * times)
+    kind = machine.type
+    if any(need > have + EPS for need, have in zip(
+        needs, (kind.cpus, kind.gpus, kind.memory_gb), strict=True
+    )) or (spec.gang and spec.spread and times > 1):
+        return None
     if not allows(spec, machine.type, machine.zone, machine.spot):
         return None
     mine = wire.PRIORITIES[spec.priority]
 
-    def cost(p: Placement) -> float:
+    def cost(p: Placement) -> tuple[bool, float]:
         owner = jobs.get(p.job_id)
-        return lost_work(p, owner.spec.checkpoint_s if owner else 0.0, now)
+        # To stop one task of a gang is to stop all.
+        gang = owner is not None and owner.spec.gang
+        return gang, lost_work(p, owner.spec.checkpoint_s if owner else 0.0, now)
 
     may = [
         p
@@ -323,10 +458,10 @@
             cpus, gpus, memory = cpus + p.cpus, gpus + p.gpus, memory + p.memory_gb
     chosen: list[Placement] = []
     for p in may:
-        if cpus >= spec.cpus and gpus >= spec.gpus and memory >= spec.memory_gb:
+        if cpus >= needs[0] and gpus >= needs[1] and memory >= needs[2]:
             break
         chosen.append(p)
         cpus, gpus, memory = cpus + p.cpus, gpus + p.gpus, memory + p.memory_gb
-    if cpus >= spec.cpus and gpus >= spec.gpus and memory >= spec.memory_gb:
+    if cpus >= needs[0] and gpus >= needs[1] and memory >= needs[2]:
         return chosen
     return None
--- a/src/copperpass/core/fleet.py
+++ b/src/copperpass/core/fleet.py
@@ -101,6 +101,8 @@
     hold_until: float = 0.0
     held_for: str = ""
     held_until: float = 0.0
+    # When all room that a gang waits for will be free, if it is held for one.
+    held_ready: float = 0.0
     do_in_flight: bool = False
     do_broken_until: float = 0.0
     errors: set[str] = field(default_factory=set)
--- a/src/copperpass/core/jobs.py
+++ b/src/copperpass/core/jobs.py
@@ -60,6 +60,11 @@
     hold_until: float = 0.0
     guaranteed: bool = False
     judged: bool = False
+    # Of a gang: the attempt that all its tasks share (0: none), whether one of them was seen to
+    # run, and whether the attempt is over, but for tasks that are not proven gone.
+    attempt: int = 0
+    begun: bool = False
+    ending: bool = False
 
     def is_done(self, index: int) -> bool:
         """Whether the task's end is stored."""
@@ -104,6 +109,7 @@
         self.failed_on.clear()
         self.next_index = self.failures = 0
         self.storing, self.hold_until = False, 0.0
+        self.attempt, self.begun, self.ending = 0, False, False
 
     def waiting(self) -> int:
         """How many tasks are neither placed nor done."""
@@ -129,6 +135,16 @@
             return index
         return None
 
+    def missing(self) -> list[int]:
+        """The tasks of a gang that have no place."""
+        return [i for i in range(self.spec.tasks)
+                if i not in self.placed and i not in self.finished and not self.is_done(i)]
+
+    def settle_gang(self) -> None:
+        """Once no task of a gang's attempt can be anywhere, another attempt may begin."""
+        if not self.placed and (self.ending or self.attempt):
+            self.attempt, self.begun, self.ending = 0, False, False
+
     def release(self, index: int) -> None:
         """A task is proven gone without an end: it may start again."""
         self.placed.pop(index, None)
--- a/src/copperpass/core/landlord.py
+++ b/src/copperpass/core/landlord.py
@@ -161,6 +161,11 @@
         # A pool's own peak is kept for longer: the fewer its jobs, the more they vary.
         window = POOL_WINDOW * tuning.warm_window_boots * self.boot_s
         self.peaks = {n: rental.Peak(window) for n in self.pools}
+        # Urgent work that may use ordinary machines only, by pool: now, its peak, what there is.
+        self.ordinary_left: dict[int, float] = {}
+        self.ordinary_peaks = {
+            n: rental.Peak(tuning.warm_window_boots * self.boot_s) for n in self.pools}
+        self.ordinary_have: dict[int, float] = {}
         self.calls = Budget(0.9 * cluster.cloud.rps, max(1.8 * cluster.cloud.rps, 2.0))
         self.dear_excess = True
         self.patient_left = self.taken = 0.0
@@ -524,6 +529,7 @@
     def _demand(self, now: float) -> tuple[float, dict[int, float]]:
         """CPUs of work that can't wait for a boot, in all and by pool."""
         tight: dict[int, float] = dict.fromkeys(self.pools, 0.0)
+        ordinary: dict[int, float] = dict.fromkeys(self.pools, 0.0)
         patient = 0.0
         jobs = list(self.jobs.jobs.values())
         dispatch.judge_guarantees(jobs, {t.name: t.cpus for t in self.cluster.teams})
@@ -536,10 +542,13 @@
                 within = within or job.guaranteed
             if within and job.spec.team in self.pool_of:
                 left = job.spec.tasks - job.done_count - len(job.finished)
-                tight[self.pool_of[job.spec.team]] += left * job.spec.cpus
+                number = self.pool_of[job.spec.team]
+                tight[number] += left * job.spec.cpus
+                if not job.spec.spot:
+                    ordinary[number] += left * job.spec.cpus
             else:
                 patient += (job.spec.tasks - job.done_count) * job.spec.cpus
-        self.patient_left = patient
+        self.patient_left, self.ordinary_left = patient, ordinary
         return sum(tight.values()), tight
 
     def _plan(self, now: float) -> None:
@@ -550,8 +559,13 @@
         self.cheap_peak.add(now, min(total, limit))
         for number, cpus in tight.items():
             self.peaks[number].add(now, cpus)
+            self.ordinary_peaks[number].add(now, self.ordinary_left[number])
         warm = rental.Warm(self.peak.value(), self.cheap_peak.value())
         serving = self._serving()
+        self.ordinary_have = dict.fromkeys(self.pools, 0.0)
+        for held in serving:
+            if not held.entry.spot and not held.entry.back and held.entry.pool in self.pools:
+                self.ordinary_have[held.entry.pool] += held.type.cpus
         room = sum(h.type.cpus for h in serving)
         used = sum(h.used_cpus for h in serving)
         # Where a class can't wait for a boot: else nothing is gained by keeping room beside work
@@ -579,6 +593,29 @@
             self._summary(warm.any, total)
         self._return_idle(now, warm)
 
+    def _may_leave(self, held: Held) -> bool:
+        """Whether a machine's pool keeps enough ordinary room for its urgent work without it."""
+        if held.entry.spot or held.entry.pool not in self.pools:
+            return True
+        number = held.entry.pool
+        need = self.ordinary_peaks[number].value()
+        return need <= 0 or self.ordinary_have.get(number, 0.0) - held.type.cpus >= need
+
+    def _leaves(self, held: Held) -> None:
+        if not held.entry.spot and held.entry.pool in self.ordinary_have:
+            self.ordinary_have[held.entry.pool] -= held.type.cpus
+
+    def _gang_zone(
+        self, spec: wire.Spec, count: int, rooms: list[rental.Room], spare: list[Held]
+    ) -> str | None:
+        """The zone where most of a gang's tasks find room already; None if there is none."""
+        slots: dict[str, int] = {}
+        offers = rooms + [rental.new_room(h.type, h.place) for h in spare]
+        for room in offers:
+            slots[room.zone] = slots.get(room.zone, 0) + room.slots(spec, count, self.boot_s)
+        best = max(sorted(slots), key=lambda z: slots[z], default=None)
+        return best if best is not None and slots[best] > 0 else None
+
     def _mixes(self) -> dict[str, list[float]]:
         """What is left to do of each team: tasks, their CPUs, their GPUs or memory."""
         mixes: dict[str, list[float]] = {}
@@ -642,13 +679,24 @@
         for job, count, horizon in pool.wants:
             spec = job.spec
             closed = self.scarce.closed_to(spec)
-            left = rental.fill(rooms, spec, count, horizon, closed)
+            zone: str | None = None
+            if spec.gang:
+                left = rental.fill_gang(rooms, spec, count, horizon, closed)
+                if left > 0 and spec.one_zone:
+                    # All of it in one zone: what is there already, then what is moved or rented.
+                    zone = self._gang_zone(spec, count, rooms, spare)
+                    here = [r for r in rooms if r.zone == zone]
+                    left = rental.fill(here, spec, count, horizon, closed)
+            else:
+                left = rental.fill(rooms, spec, count, horizon, closed)
             # Work that can wait for longer than a boot asks only for the cheap kind at first.
             patient = horizon > self.tuning.patient_boots * self.boot_s and spec.spot
             for held in list(spare):
                 if left <= 0:
                     break
                 own = held.entry.pool
+                if (zone is not None and held.entry.zone != zone) or not self._may_leave(held):
+                    continue
                 if held.type.name in closed or (
                     patient and self.dear_excess and not held.entry.spot
                 ) or not cover.may_lend(own, pool.number, held.type.cpus):
@@ -660,12 +708,15 @@
                     cover.move(own, pool.number, held.type.cpus)
                     rooms.append(room)
                     spare.remove(held)
+                    self._leaves(held)
                     self._ask_back(now, held, pool.number)
             while rent and left > 0 and sum(wanted.values()) < 50 and not self.roster.full():
                 place = rental.choose_place(
-                    spec, left, self.types, zones, self.refusals, now, patient, closed)
+                    spec, left, self.types, zones, self.refusals, now, patient, closed, zone)
                 if place is None:
                     break
+                if spec.gang and spec.one_zone:
+                    zone = place[1]
                 room = rental.new_room(self.types[place[0]], place)
                 taken = room.take(spec, left, horizon)
                 if taken <= 0:
@@ -677,11 +728,14 @@
             if rent and left > 0 and horizon <= self.boot_s:
                 # Nothing can be rented: what others keep for later serves who needs it now.
                 for held in spare:
-                    if left > 0 and held.type.name not in closed:
+                    if left > 0 and held.type.name not in closed and (
+                        zone in (None, held.entry.zone) and self._may_leave(held)
+                    ):
                         taken = rental.new_room(held.type, held.place).take(
                             spec, left, horizon)
                         if taken > 0:
                             left -= taken
+                            self._leaves(held)
                             self._ask_back(now, held, pool.number)
                 spare = [h for h in spare if not h.entry.back]
             if rent and left > 0 and job.guaranteed and horizon <= self.boot_s:
@@ -726,6 +780,40 @@
                 cover.have[number] += self.types[place[0]].cpus
                 zones[place[1]] = zones.get(place[1], 0) + 1
                 wanted[(place, number)] = wanted.get((place, number), 0) + 1
+        for number in self.pools:
+            self._keep_ordinary(now, number, serving, wanted, dear)
+
+    def _keep_ordinary(
+        self, now: float, number: int, serving: list[Held],
+        wanted: dict[tuple[Place, int], int], closed: set[str],
+    ) -> None:
+        """Rent ordinary room for a pool's urgent work that may use no other.
+
+        In the zone that has most of it, since a gang needs room in one zone; elsewhere when that
+        zone has no more.
+        """
+        need = self.ordinary_peaks[number].value()
+        zones: dict[str, float] = {}
+        for held in serving:
+            if held.entry.pool == number and not held.entry.spot:
+                zones[held.entry.zone] = zones.get(held.entry.zone, 0.0) + held.type.cpus
+        coming = [(place, count) for place, count, n in self.renting.values() if n == number]
+        coming += [(place, count) for (place, n), count in wanted.items() if n == number]
+        for place, count in coming:
+            if not place[2]:
+                cpus = self.types[place[0]].cpus * count
+                zones[place[1]] = zones.get(place[1], 0.0) + cpus
+        while sum(zones.values()) < need and sum(wanted.values()) < 50 and not self.roster.full():
+            most = max(sorted(zones), key=lambda z: zones[z], default=None)
+            found: Place | None = None
+            for within in dict.fromkeys((most, None)):
+                found = found or rental.choose_place(
+                    None, 1, self.types, {}, self.refusals, now, False, closed, within,
+                    dear_only=True)
+            if found is None:
+                break
+            zones[found[1]] = zones.get(found[1], 0.0) + self.types[found[0]].cpus
+            wanted[(found, number)] = wanted.get((found, number), 0) + 1
 
     def _cover(self, serving: list[Held]) -> rental.Cover:
         """How far each pool's machines, with those on their way, cover its urgent peak."""
@@ -751,9 +839,10 @@
             if cover.of(short) >= 1.0:
                 break
             spare = held.spare and not held.entry.back and own in cover.have and own != short
-            if spare and held.type.name not in scarce and (
+            if spare and held.type.name not in scarce and self._may_leave(held) and (
                 cover.may_lend(own, short, held.type.cpus)
             ):
+                self._leaves(held)
                 cover.move(own, short, held.type.cpus)
                 self._ask_back(now, held, short)
 
@@ -766,7 +855,9 @@
                 and now - max(h.idle_since, h.up_at) >= idle_s]
         idle.sort(key=lambda h: -dispatch.price_of(h.type, h.entry.spot) / h.type.cpus)
         for held in idle:
-            if total - held.type.cpus >= (warm.cheap if held.entry.spot else warm.any):
+            beyond = total - held.type.cpus >= (warm.cheap if held.entry.spot else warm.any)
+            if beyond and self._may_leave(held):
+                self._leaves(held)
                 total -= held.type.cpus
                 self._ask_back(now, held, None)
 
--- a/src/copperpass/core/owner.py
+++ b/src/copperpass/core/owner.py
@@ -26,6 +26,7 @@
     Tally,
     allows,
     type_fits,
+    zone_allows,
 )
 from copperpass.core.jobs import LIVE, OVER, Job, JobTable, fits, parse_task, task_id
 from copperpass.core.ledger import APPLIED, Ledger, Op
@@ -142,6 +143,10 @@
         self.boot_s = rental.longest_boot(types)
         # Whether dear machines could go back: else they stay up, and any work may use them.
         self.dear_excess = True
+        # Ordinary machines that are kept for work that may use no other.
+        self.kept: frozenset[str] = frozenset()
+        self.ordinary_peak = rental.Peak(self.tuning.warm_window_boots * self.boot_s)
+        self.gang_notice_s = cluster.workers.gang_notice_s
         self.next_scan = now
         self.next_round = now
         self.by_team = {t.name: t for t in self.teams}
@@ -242,10 +247,9 @@
             machine.vacating = True
             for p in list(machine.starts):
                 self._remove(now, machine, p)
-            for p in machine.tasks.values():
+            for p in list(machine.tasks.values()):
                 if p.active and p.stop is None:
-                    p.stop, p.stopping_for = self._save_s(p), "reclaimed"
-                    p.stop_sent = 0.0
+                    self._stop(now, p, "reclaimed")
             self._send_direct(now, machine)
 
     def _part(self, machine: Machine, last: Status) -> None:
@@ -302,7 +306,8 @@
             if spec.cpus > 0:
                 count = min(count, max(0, int(room / spec.cpus)))
             horizon = max(0.0, self.aims.needed(job, now) - now)
-            left = rental.fill(rooms, spec, count, horizon, self.scarce.closed_to(spec))
+            fill = rental.fill_gang if spec.gang else rental.fill
+            left = fill(rooms, spec, count, horizon, self.scarce.closed_to(spec))
             if left > 0:
                 unmet.append((spec.id, left, horizon))
         return unmet
@@ -501,6 +506,8 @@
                 if task.state in (wire.TASK_RUNNING, wire.SAVING) and not p.running_at:
                     p.running_at = now
                 p.state = task.state
+                if job is not None and job.spec.gang:
+                    self._gang_seen(now, job, p)
                 if job is None and p.stop is None and self._knows_over(p):
                     p.stop, p.stopping_for = 0.0, "job over"
             return
@@ -521,6 +528,10 @@
         if job is None:
             p.stored = True
             return
+        if p.why == wire.WHY_DONE and job.spec.gang:
+            # They complete together: if one is done, all are. The others' machines may be lost with
+            # their reports, and nothing is left that could run again.
+            job.finished.update(i for i in range(job.spec.tasks) if not job.is_done(i))
         if p.why == wire.WHY_DONE:
             machine.errors.clear()
             job.failed_on.clear()
@@ -544,6 +555,76 @@
         elif p.why == wire.WHY_UNKNOWN:
             # The worker fetches the description itself and may have been told nothing yet.
             job.hold_until = now + self.report_s
+        if job.spec.gang:
+            self._gang_exit(now, job, p)
+
+    # -- gangs ---------------------------------------------------------------------
+
+    def _gang_seen(self, now: float, job: Job, p: Placement) -> None:
+        """A task of a gang is reported as active."""
+        if not job.attempt and not job.ending:
+            # Taken over from an earlier owner: what is missing joins its attempt.
+            job.attempt = p.attempt
+        if p.attempt != job.attempt:
+            # Of another attempt, which only a leftover can be: neither may be added to.
+            self._end_gang(now, job, "two attempts", 0.0)
+        elif p.state in (wire.TASK_RUNNING, wire.SAVING):
+            job.begun = True
+
+    def _gang_exit(self, now: float, job: Job, p: Placement) -> None:
+        """A task of a gang has ended without being done."""
+        if job.ended():
+            return
+        if p.attempt == job.attempt and not job.ending:
+            refused = p.why in (wire.WHY_NO_ROOM, wire.WHY_BUSY, wire.WHY_UNKNOWN)
+            waiting = not job.begun and (refused or p.stop is not None or (
+                p.why == wire.WHY_ERROR and not p.running_at))
+            if not waiting:
+                # Whatever the rest does now, it can't complete under this attempt.
+                self._end_gang(now, job, p.why, 0.0)
+        job.settle_gang()
+
+    def _end_gang(self, now: float, job: Job, why: str, grace: float) -> None:
+        """An attempt is over: all its tasks go, told as close together as can be.
+
+        Another begins only when every one of them is proven gone.
+        """
+        if job.ending:
+            return
+        job.ending = True
+        self.out.log("info", "gang stopped", job=job.spec.id, why=why, begun=job.begun)
+        for name in list(self.where.get(job.spec.id, ())):
+            machine = self.machines.get(name)
+            if machine is None:
+                continue
+            for p in list(machine.tasks.values()):
+                if p.job_id != job.spec.id or not p.active:
+                    continue
+                if p in machine.starts:
+                    self._remove(now, machine, p)
+                elif p.stop is None:
+                    p.stop, p.stopping_for, p.stop_sent = grace, why, 0.0
+            self._send_direct(now, machine)
+        job.settle_gang()
+
+    def _stop(self, now: float, p: Placement, why: str) -> None:
+        """Stop a task in order; of a gang that has begun all tasks, so that they save together."""
+        job = self.jobs.jobs.get(p.job_id)
+        if job is None or not job.spec.gang or not job.begun or job.ending:
+            # A gang that hasn't begun waits for a replacement under the same attempt.
+            p.stop, p.stopping_for, p.stop_sent = self._save_s(p), why, 0.0
+        else:
+            self._end_gang(now, job, why, self._save_s(p))
+
+    def _gang_reached(self, now: float, job: Job) -> bool:
+        """Whether all tasks of a gang can be told to stop within the time that saving takes."""
+        for name in job.placed.values():
+            machine = self.machines.get(name)
+            if machine is None or machine.deaf_since is not None or (
+                now - machine.last_report > min(self.silence, self.gang_notice_s)
+            ):
+                return False
+        return True
 
     def _failed(self, now: float, machine: Machine, job: Job) -> None:
         """Tell a sick machine (many jobs fail there) from a job with a mistake."""
@@ -561,7 +642,7 @@
             self.out.log("info", "machine fenced", machine=machine.name, jobs=len(suspects))
             for p in machine.tasks.values():
                 if p.active and p.stop is None and not p.running_at:
-                    p.stop, p.stopping_for = 0.0, "sick machine"
+                    p.stop, p.stopping_for, p.stop_sent = 0.0, "sick machine", 0.0
             for p in list(machine.starts):
                 self._remove(now, machine, p)
         elif not machine.fenced:
@@ -574,11 +655,17 @@
         self.dirty = True
         for p in list(machine.starts):
             self._remove(now, machine, p)
-        for p in machine.tasks.values():
+        for p in list(machine.tasks.values()):
             if not p.active or p.stop is not None:
                 continue
+            job = self.jobs.jobs.get(p.job_id)
+            if job is not None and job.spec.gang and job.begun and (
+                job.spec.save_s > left or not self._gang_reached(now, job)
+            ):
+                # It can't be saved in time: to run on may still complete it.
+                continue
             if dispatch.remaining(p, now) > 1.5 * left:
-                p.stop, p.stopping_for = self._save_s(p), "notice"
+                self._stop(now, p, "notice")
 
     def _save_s(self, p: Placement) -> float:
         """What a task is given to save itself when it is stopped."""
@@ -593,6 +680,11 @@
         job = self.jobs.jobs.get(p.job_id)
         if p.active and job is not None and job.placed.get(p.index) == machine.name:
             job.release(p.index)
+            if job.spec.gang:
+                if job.begun and p.attempt == job.attempt and not job.ended():
+                    # The others notice and exit; what they did since the last checkpoint is lost.
+                    self._end_gang(now, job, "task lost", 0.0)
+                job.settle_gang()
         self.dirty = True
         self.tally.recount(machine)
 
@@ -863,7 +955,7 @@
         return {name: (u[0] + ghosts[0], u[1] + ghosts[1]) for name, u in used.items()}
 
     def _startable(self, job: Job, now: float) -> bool:
-        if now < job.hold_until:
+        if now < job.hold_until or job.ending:
             return False
         if job.created > self.revision or not (self.unsettled or self.elsewhere):
             return True
@@ -941,6 +1033,7 @@
             dispatch.share_late(queue, self.aims, now, late_used, late_quota)
         smallest = min((j.spec.cpus for j in jobs if j.spec.cpus > 0), default=0.0)
         roomy = [m for m in usable if fits(smallest, m.type.cpus - m.used_cpus)]
+        self._keep_ordinary(now, jobs, usable)
         holding: set[str] = set()
         # Jobs that room is held for, by stopping tasks or for want of a large gap.
         held = {m.held_for for m in usable if now < m.held_until}
@@ -962,6 +1055,21 @@
             job = order[name][0]
             spec = job.spec
             team = self.by_team[name]
+            if spec.gang:
+                order[name].pop(0)
+                placed = self._place_gang(now, job, roomy, used[name], log)
+                if placed:
+                    log += placed
+                    used[name] = (used[name][0] + len(placed) * spec.cpus,
+                                  used[name][1] + len(placed) * spec.gpus)
+                    running[name] += len(placed)
+                elif placed is not None:
+                    stuck.append(job)
+                    if "gang" not in holding:
+                        # As in the design: freed room is held for one gang at a time.
+                        holding.add("gang")
+                        held |= self._hold_for_gang(now, job, usable)
+                continue
             index = job.peek()
             if index is None:
                 order[name].pop(0)
@@ -982,7 +1090,8 @@
                 if ranking is None:
                     ranking = rankings[spec.id] = dispatch.Ranking(
                         job, roomy, self.machines, now, closed=self.scarce.closed_to(spec),
-                        cheap_only=patient, tight=slack < self.boot_s, since=len(log))
+                        cheap_only=patient, tight=slack < self.boot_s, since=len(log),
+                        kept=self.kept)
                 machine = ranking.best(log)
                 if machine is None and shape is not None:
                     full.add(shape)
@@ -998,6 +1107,7 @@
                     keep = dispatch.machine_to_hold(job, usable, self.machines, now)
                     if keep is not None:
                         keep.held_for, keep.held_until = spec.id, now + self.report_s
+                        keep.held_ready = 0.0
                         held.add(spec.id)
                 continue
             self._start(now, job, index, machine)
@@ -1019,10 +1129,82 @@
         tightest = self.report_s / 4
         self.next_round = now + min(tightest, 0.01 + 0.002 * backlog)
 
+    def _place_gang(
+        self, now: float, job: Job, roomy: list[Machine], used: tuple[float, float],
+        log: list[Machine],
+    ) -> list[Machine] | None:
+        """Start all missing tasks of a gang or none; None: the team's limit has no room for it."""
+        spec, count = job.spec, len(job.missing())
+        team = self.by_team[spec.team]
+        if not fits(used[0] + count * spec.cpus, team.cpus_max) or not fits(
+            used[1] + count * spec.gpus, team.gpus_max
+        ):
+            return None
+        if any(p.active and p.job_id == spec.id and p.attempt != job.attempt
+               for name in self.where.get(spec.id, ()) if name in self.machines
+               for p in self.machines[name].tasks.values()):
+            # A task of an earlier attempt is not proven gone.
+            return None
+        ranking = dispatch.Ranking(
+            job, roomy, self.machines, now, closed=self.scarce.closed_to(spec), cheap_only=False,
+            tight=True, since=len(log))
+        plan = dispatch.plan_gang(ranking, self.machines)
+        if plan is None:
+            return []
+        if not job.attempt:
+            job.attempts += 1
+            job.attempt = self._attempt(job)
+        for index, machine in plan.places:
+            self._start(now, job, index, machine)
+        return [machine for _, machine in plan.places]
+
+    def _hold_for_gang(self, now: float, job: Job, usable: list[Machine]) -> set[str]:
+        """Hold the room where a gang can start soonest; returns whom room is held for."""
+        if self.aims.due(job, now) - now > self.tuning.patient_boots * self.boot_s:
+            return set()
+        found = dispatch.gang_hold(job, usable, self.machines, now, self.kept)
+        if found is None:
+            return set()
+        for machine in found[0]:
+            machine.held_for, machine.held_until = job.spec.id, now + self.report_s
+            machine.held_ready = found[1]
+        return {job.spec.id}
+
+    def _keep_ordinary(self, now: float, jobs: list[Job], usable: list[Machine]) -> None:
+        """Choose the ordinary machines that are kept from work that may use cheap ones.
+
+        Work that needs ordinary room and can't wait for a boot would otherwise find it taken by
+        work that could have gone elsewhere; gangs need it in one zone at that, and whole.
+        """
+        self.ordinary_peak.add(now, sum(
+            job.spec.cpus * (job.spec.tasks - job.done_count) for job in jobs
+            if rental.needs_ordinary(job, self.aims, self.boot_s)))
+        need = self.ordinary_peak.value()
+        kept: set[str] = set()
+        if need > 0:
+            zones: dict[str, float] = {}
+            mine = [m for m in usable if not m.spot]
+            for m in mine:
+                zones[m.zone] = zones.get(m.zone, 0.0) + m.type.cpus
+            # Those that are kept stay so, and whole zones before parts of many.
+            mine.sort(key=lambda m: (m.name not in self.kept, -zones[m.zone], m.zone, m.name))
+            for m in mine:
+                if need <= 0:
+                    break
+                need -= m.type.cpus
+                kept.add(m.name)
+        self.kept = frozenset(kept)
+
+    def _attempt(self, job: Job) -> int:
+        return (self.epoch << EPOCH_SHIFT) + (self.serial << SERIAL_SHIFT) + job.attempts
+
     def _start(self, now: float, job: Job, index: int, machine: Machine) -> None:
-        job.attempts += 1
         spec = job.spec
-        attempt = (self.epoch << EPOCH_SHIFT) + (self.serial << SERIAL_SHIFT) + job.attempts
+        if spec.gang:
+            attempt = job.attempt
+        else:
+            job.attempts += 1
+            attempt = self._attempt(job)
         p = Placement(
             spec.id, index, attempt, machine.name, spec.team, spec.job_class,
             wire.PRIORITIES[spec.priority], spec.cpus, spec.gpus, spec.memory_gb, spec.image,
@@ -1061,22 +1243,24 @@
                     1 for m in self.machines.values() for p in m.tasks.values()
                     if p.active and p.stop is not None and p.stopping_for == "preempted"
                 )
-            budget = min(job.waiting(), 8) - stopping
+            budget = (1 if spec.gang else min(job.waiting(), 8)) - stopping
             if budget <= 0:
                 continue
             found: list[tuple[float, str, Machine, list[Placement]]] = []
             for machine in usable:
                 if now < machine.held_until or (machine.lowest >= mine and not under):
                     continue
+                if not zone_allows(job, machine.zone, self.machines):
+                    continue
                 chosen = dispatch.victims(job, machine, self.jobs.jobs, over, under, now)
                 if chosen:
                     cost = sum(dispatch.lost_work(p, 0.0, now) * p.cpus for p in chosen)
                     found.append((cost, machine.name, machine, chosen))
             for _, _, machine, chosen in heapq.nsmallest(budget, found):
                 for p in chosen:
-                    p.stop, p.stopping_for = self._save_s(p), "preempted"
-                    p.stop_sent = 0.0
+                    self._stop(now, p, "preempted")
                     stopping += 1
+                machine.held_ready = 0.0
                 machine.held_for = spec.id
                 machine.held_until = now + 2 * self.report_s
                 self._send_direct(now, machine)
--- a/src/copperpass/core/rental.py
+++ b/src/copperpass/core/rental.py
@@ -7,8 +7,9 @@
 from dataclasses import dataclass, field
 
 from copperpass import wire
-from copperpass.core.dispatch import price_of, remaining
+from copperpass.core.dispatch import Aims, price_of, remaining
 from copperpass.core.fleet import Machine, allows, type_fits
+from copperpass.core.jobs import Job
 
 Place = tuple[str, str, bool]
 
@@ -113,8 +114,8 @@
     def __post_init__(self) -> None:
         self.most = self.cpus + sum(free[1] for free in self.frees)
 
-    def take(self, spec: wire.Spec, count: int, horizon: float) -> int:
-        """Give room to up to `count` tasks that may start within the horizon."""
+    def slots(self, spec: wire.Spec, count: int, horizon: float) -> int:
+        """For how many tasks, up to `count`, that may start within the horizon there is room."""
         if count <= 0 or spec.cpus > self.most + 1e-6:
             return 0
         if not allows(spec, self.type, self.zone, self.spot):
@@ -127,6 +128,11 @@
         for need, have in ((spec.cpus, cpus), (spec.gpus, gpus), (spec.memory_gb, memory)):
             if need > 0:
                 slots = min(slots, int((have + 1e-6) / need))
+        return max(0, slots)
+
+    def take(self, spec: wire.Spec, count: int, horizon: float) -> int:
+        """Give room to up to `count` tasks that may start within the horizon."""
+        slots = self.slots(spec, count, horizon)
         if slots <= 0:
             return 0
         self.cpus -= slots * spec.cpus
@@ -136,6 +142,32 @@
         return slots
 
 
+def fill_gang(
+    rooms: list[Room], spec: wire.Spec, count: int, horizon: float, closed: set[str]
+) -> int:
+    """Give room to a gang's tasks, to all of them or to none; returns how many are left."""
+    zones: dict[str, list[Room]] = {}
+    for room in rooms:
+        if room.type.name not in closed and allows(spec, room.type, room.zone, room.spot):
+            zones.setdefault(room.zone if spec.one_zone else "", []).append(room)
+    most = (spec.tasks + 1) // 2 if spec.spread else count
+    for zone in sorted(zones):
+        offers: list[tuple[Room, int]] = []
+        taken: dict[str, int] = {}
+        left = count
+        for room in zones[zone]:
+            slots = min(room.slots(spec, left, horizon), most - taken.get(room.zone, 0))
+            if slots > 0:
+                offers.append((room, slots))
+                taken[room.zone] = taken.get(room.zone, 0) + slots
+                left -= slots
+        if left <= 0:
+            for room, slots in offers:
+                room.take(spec, slots, horizon)
+            return 0
+    return count
+
+
 def choose_place(
     spec: wire.Spec | None,
     count: int,
@@ -145,8 +177,10 @@
     now: float,
     spot_only: bool,
     closed: set[str],
+    within: str | None = None,
+    dear_only: bool = False,
 ) -> Place | None:
-    """The cheapest place for tasks of a shape, spread over zones."""
+    """The cheapest place for tasks of a shape, spread over zones; or `within` one of them."""
     best: Place | None = None
     best_score: tuple[float, int, str] | None = None
     for machine_type in types.values():
@@ -167,13 +201,17 @@
             ]
             slots = min(count, int(min(per) + 1e-6)) if per else count
         for spot in (True, False):
-            if (spot and machine_type.spot_price is None) or (spot_only and not spot):
+            if (spot and machine_type.spot_price is None) or (spot_only and not spot) or (
+                dear_only and spot
+            ):
                 continue
             price = price_of(machine_type, spot)
             for zone in machine_type.zones:
                 place = (machine_type.name, zone, spot)
                 if spec is not None and not allows(spec, machine_type, zone, spot):
                     continue
+                if within is not None and zone != within:
+                    continue
                 if not refusals.open(place, now):
                     continue
                 score = (price / max(slots, 1e-6), zones.get(zone, 0), zone)
@@ -198,6 +236,15 @@
     return rooms
 
 
+def needs_ordinary(job: Job, aims: Aims, boot_s: float) -> bool:
+    """Whether a job may use ordinary machines only and can't wait for one to boot."""
+    if job.spec.spot:
+        return False
+    wait = aims.tightest_wait(job.spec.job_class)
+    tight = aims.guarantee is not None and aims.guarantee < boot_s and job.guaranteed
+    return tight or (wait is not None and wait < boot_s)
+
+
 def new_room(machine_type: wire.MachineType, place: Place) -> Room:
     """What an empty machine offers."""
     return Room(machine_type, place[1], place[2],
--- a/src/copperpass/core/users.py
+++ b/src/copperpass/core/users.py
@@ -13,7 +13,7 @@
 from copperpass.core.jobs import LIVE, OVER, fits
 from copperpass.core.ledger import APPLIED, CONFLICT, URGENT, Ledger, Op
 from copperpass.core.ports import Call, Outbox, Outcome, Reply
-from copperpass.settings import Cluster
+from copperpass.settings import Cluster, Team
 
 RETRY_AFTER = 1
 KNOWN_FINALS = 2000
@@ -51,6 +51,8 @@
         raise Verdict(422, "desk: unknown team")
     if not fits(spec.cpus, team.cpus_max) or not fits(spec.gpus, team.gpus_max):
         raise Verdict(422, "a task needs more than the team's limit")
+    if spec.gang:
+        _check_gang(spec, team)
     for machine_type in types.values():
         if spec.types is not None and machine_type.name not in spec.types:
             continue
@@ -61,6 +63,16 @@
     raise Verdict(422, "a task fits no allowed machine type")
 
 
+def _check_gang(spec: wire.Spec, team: Team) -> None:
+    """Raise a Verdict when a gang, whose tasks all run at once, can never run."""
+    if not fits(spec.cpus * spec.tasks, team.cpus_max) or not fits(
+        spec.gpus * spec.tasks, team.gpus_max
+    ):
+        raise Verdict(422, "the gang needs more than the team's limit")
+    if spec.spread and spec.tasks > 1 and (spec.one_zone or spec.zone is not None):
+        raise Verdict(422, "a gang can't be both in one zone and spread")
+
+
 def _read(outcome: Outcome) -> tuple[wire.JobRecord, int] | None:
     """The record and version that a read brought."""
     item = wire.decode(outcome.body, wire.Item) if outcome.status == 200 else None
--- a/src/copperpass/settings.py
+++ b/src/copperpass/settings.py
@@ -57,6 +57,14 @@
     report_s: float
     lease_s: float
     cancel_s: float
+    # How long a gang's task waits for the others, and how soon it notices that one is gone.
+    gang_wait_s: float | None = None
+    gang_peer_s: float | None = None
+
+    @property
+    def gang_notice_s(self) -> float:
+        """Within what time all tasks of a gang must be told to stop; some, where it isn't said."""
+        return self.gang_peer_s if self.gang_peer_s is not None else self.lease_s / 3
 
 
 class State(msgspec.Struct):
@@ -151,6 +159,10 @@
     for field, number in positive.items():
         if not number > 0:
             raise SettingsError(f"{field}: must be above 0, got {number}")
+    for field, length in (("gang_wait_s", cluster.workers.gang_wait_s),
+                          ("gang_peer_s", cluster.workers.gang_peer_s)):
+        if length is not None and not length > 0:
+            raise SettingsError(f"settings.workers.{field}: must be above 0, got {length}")
     if cluster.state.txn_ops < 4:
         raise SettingsError("settings.state.txn_ops: must be at least 4")
     if not cluster.teams:
--- a/src/copperpass/wire.py
+++ b/src/copperpass/wire.py
@@ -41,7 +41,7 @@
     id: str
     job_class: str
     team: str
-    kind: Literal["batch"]
+    kind: Literal["batch", "ensemble"]
     priority: Literal["production", "high", "normal", "low"]
     tasks: int
     cpus: float
@@ -59,6 +59,11 @@
     zone: str | None = None
     deadline_s: float | None = None
 
+    @property
+    def gang(self) -> bool:
+        """Whether all tasks run together or none does."""
+        return self.kind == "ensemble"
+
 
 class OnlyId(msgspec.Struct):
     """The one field that is needed to know a job again."""
@@ -132,7 +137,11 @@
 REPORT_WAIT_S, NEXT_NODE_S = 4.0, 1.0
 START, STOP, FORGET = "run", "kill", "clear"
 FETCHING, TASK_RUNNING, SAVING, EXITED = "pulling", "running", "flushing", "exited"
+# A gang's task that waits for the others of its attempt.
+GATHERING = "gathering"
 WHY_DONE, WHY_STOPPED, WHY_ERROR = "done", "halted", "error"
+# A gang's task: another is gone; not complete in time.
+WHY_GANG_LOST, WHY_ALONE = "mates_gone", "alone"
 WHY_NO_ROOM, WHY_BUSY, WHY_UNKNOWN = "no_room", "in_use", "unknown"
 
 
