Look for room where a job in one zone is already tied to

Room in other zones counted as room for the rest of a same_place job, and new machines came up wherever it was cheapest, idled and went back. Where the leader does not own the pool it does not know the zone; that is not mended.

--- a/src/copperpass/core/landlord.py
+++ b/src/copperpass/core/landlord.py
@@ -640,7 +640,9 @@
         spare.sort(key=lambda h: dispatch.price_of(h.type, h.entry.spot) / h.type.cpus)
         cover = self._cover(serving)
         for job, count, horizon in pool.wants:
-            spec = job.spec
+            # Where the leader owns the pool too, it knows the zone that a job is tied to.
+            spec = rental.tied(job.spec, (
+                self.machines[m].entry.zone for m in job.placed.values() if m in self.machines))
             closed = self.scarce.closed_to(spec)
             left = rental.fill(rooms, spec, count, horizon, closed)
             # Work that can wait for longer than a boot asks only for the cheap kind at first.
--- a/src/copperpass/core/owner.py
+++ b/src/copperpass/core/owner.py
@@ -299,6 +299,8 @@
             if spec.cpus > 0:
                 count = min(count, max(0, int(room / spec.cpus)))
             horizon = max(0.0, self.aims.needed(job, now) - now)
+            where = (self.machines[m].zone for m in job.placed.values() if m in self.machines)
+            spec = rental.tied(spec, where)
             left = rental.fill(rooms, spec, count, horizon, self.scarce.closed_to(spec))
             if left > 0:
                 unmet.append((spec.id, left, horizon))
--- a/src/copperpass/core/rental.py
+++ b/src/copperpass/core/rental.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+import msgspec
+
 from copperpass import wire
 from copperpass.core.dispatch import price_of, remaining
 from copperpass.core.fleet import Machine, allows, type_fits
@@ -204,6 +206,17 @@
                 machine_type.cpus, machine_type.gpus, machine_type.memory_gb, [])
 
 
+def tied(spec: wire.Spec, zones: Iterable[str]) -> wire.Spec:
+    """A job as it may still be placed: in one zone for all, where its other tasks are.
+
+    Counted and rented elsewhere, room is of no use to it: machines came up, idled and went back.
+    """
+    if not spec.one_zone or spec.zone is not None:
+        return spec
+    zone = next(iter(zones), None)
+    return spec if zone is None else msgspec.structs.replace(spec, zone=zone)
+
+
 def fill(
     rooms: list[Room], spec: wire.Spec, count: int, horizon: float, closed: set[str]
 ) -> int:
