Begin a term for the members when a leader on a bridge wins again

The members follow the new token, but the leader kept the old term and refused their pulls: it owned every pool for good. With several pools a new term begins now, and gives nothing before the grants of the old one have ended.

--- a/src/copperpass/core/landlord.py
+++ b/src/copperpass/core/landlord.py
@@ -285,6 +285,13 @@
                   proven=proven, contact=contact)
         self.added[pool] = self.table.seq
 
+    def wait_out(self, before: Landlord) -> None:
+        """Give no pool while a grant of one's own earlier term may run."""
+        until = max((t.granted_until for n, t in before.tenants.items() if n != self.member),
+                    default=float("-inf"))
+        for pool in self.pools.values():
+            pool.free_at = max(pool.free_at, until)
+
     def _live(self, now: float) -> list[str]:
         return [name for name, t in self.tenants.items()
                 if name == self.member or now - t.heard < 0.75 * self.grant_s]
--- a/src/copperpass/core/node.py
+++ b/src/copperpass/core/node.py
@@ -281,7 +281,8 @@
                 self.landlord.saw_fleet(*self.fleet)
 
     def _authority_changed(self, now: float, leading: bool, continued: bool) -> None:
-        if leading and continued and self.landlord is not None:
+        before = self.landlord
+        if leading and continued and before is not None and len(before.pools) == 1:
             # Nobody else can have commanded in between: the term goes on under a higher counter.
             return
         if not leading:
@@ -294,6 +295,10 @@
         self.landlord = Landlord(
             self.cluster, self.out, self.ledger, self.jobs, self.types, self.authority, self.fleet,
             self.pools, hints, owned, holder.incarnation, self._linked, now, self.tuning)
+        if continued and before is not None:
+            # Members follow the new token, so they need a term under it. The grants of the term
+            # before have not ended with an authority that goes on: they are waited out.
+            self.landlord.wait_out(before)
         holder.lead(self.landlord)
 
     def _make_owner(self, share: peer.Share) -> Owner:
