Tell no older answer than this node has told, and refuse what can't be stored

A question read the live record, a cancellation was told, and then the question was answered with the older state. A submission larger than a record may be was answered 503 for ever; it is 400 now.

--- a/src/copperpass/core/node.py
+++ b/src/copperpass/core/node.py
@@ -268,6 +268,8 @@
                 self._use_types(offer)
         elif key.startswith(LIVE):
             job, over = self.jobs.saw(now, key, raw, version)
+            if raw is None:
+                self.desk.note_removed(key[len(LIVE):])
             for owner in self.owners:
                 if over and job is not None:
                     owner.job_over(now, job)
--- a/src/copperpass/core/users.py
+++ b/src/copperpass/core/users.py
@@ -5,6 +5,7 @@
 import math
 from collections import OrderedDict
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 
@@ -61,6 +62,12 @@
     raise Verdict(422, "a task fits no allowed machine type")
 
 
+def check_size(record: dict[str, Any], cluster: Cluster) -> None:
+    """Raise a Verdict when a record can't be stored: the answer would be 503 for ever."""
+    if len(wire.encode(record)) > min(cluster.state.value_kb * 1024, wire.MAX_BODY / 2):
+        raise Verdict(400, "larger than a record may be")
+
+
 def _read(outcome: Outcome) -> tuple[wire.JobRecord, int] | None:
     """The record and version that a read brought."""
     item = wire.decode(outcome.body, wire.Item) if outcome.status == 200 else None
@@ -81,6 +88,8 @@
         self.read_timeout = read_timeout
         self.types: dict[str, wire.MachineType] = {}
         self.finals: OrderedDict[str, wire.JobRecord] = OrderedDict()
+        # Jobs whose live records have gone, which never come back.
+        self.removed: OrderedDict[str, None] = OrderedDict()
         self.counts: Callable[[str], tuple[int, int]] = lambda job_id: (0, 0)
 
     # -- requests -------------------------------------------------------------
@@ -106,12 +115,13 @@
         if not self.types:
             self._refuse(now, request, spec.id, Verdict(503, "machine types not known yet"))
             return
+        record = {"spec": msgspec.to_builtins(spec), "at": round(now + self.day, 1)}
         try:
             check(spec, self.cluster, self.types)
+            check_size(record, self.cluster)
         except Verdict as verdict:
             self._refuse(now, request, spec.id, verdict)
             return
-        record = {"spec": msgspec.to_builtins(spec), "at": round(now + self.day, 1)}
         op = Op(
             {LIVE + spec.id: 0, OVER + spec.id: 0},
             [wire.put(LIVE + spec.id, record)],
@@ -147,7 +157,9 @@
 
             def stored(m: float, how: str, revision: int) -> None:
                 if how == APPLIED:
-                    self._tell(request, job_id, wire.JobRecord(final=wire.CANCELLED, count=count))
+                    over = wire.JobRecord(final=wire.CANCELLED, count=count)
+                    self.note_final(job_id, over)
+                    self._tell(request, job_id, over)
                 elif how == CONFLICT and tries > 1:
                     # A task of the job ended in between: the record has moved on, look again.
                     self.cancel(m, request, job_id, tries - 1)
@@ -182,8 +194,14 @@
             if outcome.status == 404:
                 self._get(OVER + job_id, over)
                 return
+            final = self.finals.get(job_id)
             read = _read(outcome)
-            if read is None:
+            if final is not None:
+                # Guards against going back: this node has told the job's end since it asked.
+                found(n, final, 0)
+            elif job_id in self.removed:
+                self._get(OVER + job_id, over)
+            elif read is None:
                 failed(n)
             else:
                 found(n, *read)
@@ -201,6 +219,12 @@
 
         self._get(LIVE + job_id, live)
 
+    def note_removed(self, job_id: str) -> None:
+        """The view has seen a live record go: an older answer about it is not to be told."""
+        self.removed[job_id] = None
+        while len(self.removed) > KNOWN_FINALS:
+            self.removed.popitem(last=False)
+
     def note_final(self, job_id: str, record: wire.JobRecord) -> None:
         """Final records never change, so a stored one may be kept and told again."""
         self.finals[job_id] = record
