--- /dev/null
+++ b/tests/test_meetings.py
@@ -0,0 +1,408 @@
+"""Two troubles meet: a short story for each meeting that has been seen to break a rule."""
+
+import json
+
+import pytest
+
+from tests.world import World, job
+
+
+def running(world):
+    return sum(len(w.on_it()) for w in world.cloud.workers())
+
+
+def started_world(jobs, count, seed=1, **more):
+    """A world with jobs that run."""
+    world = World(seed=seed, **more)
+    world.run_until(world.leader)
+    for spec in jobs:
+        world.submit(spec)
+    world.run_until(lambda: running(world) >= count, 90)
+    return world
+
+
+def step(world, seconds):
+    """Let time pass, with the rules that are checked as it goes."""
+    end = world.now + seconds
+    while world.now < end:
+        world.run(min(1.0, end - world.now))
+        world.leader()
+        world.check_cancelled()
+        world.check_sums()
+
+
+def over(world, number):
+    return f"d/job/req-{number:06d}" in world.state.data
+
+
+def new_leader(world, old, seconds=60.0):
+    world.run_until(lambda: world.leader() not in (None, old), seconds)
+    return world.leader()
+
+
+@pytest.mark.parametrize("parted", [False, True])
+def test_more_work_than_room_urgent_and_not_over_slow_links(parted):
+    world = World(seed=3, parted=parted)
+    world.cloud.capacity = {(z, s): 1 for z in "abc" for s in (True, False)}
+    world.run_until(world.leader)
+    world.lag = (0.05, 0.2)
+    for n in range(1, 31):
+        world.submit(job(
+            n, team="red" if n % 2 else "blue", tasks=3, cpus=4.0, run_s=8.0,
+            urgency="production" if n % 5 == 0 else "low", slot="quick" if n % 3 else "none"))
+        step(world, 1.0)
+    # The largest must begin within four minutes, whatever small ones are about.
+    world.submit(job(99, tasks=1, cpus=16.0, run_s=5.0, slot="none"))
+    for n in range(31, 70):
+        world.submit(job(n, team="red" if n % 2 else "blue", tasks=3, cpus=4.0, run_s=8.0))
+        step(world, 3.0)
+    step(world, 120.0)
+    assert over(world, 99)
+    world.finish(400.0)
+
+
+@pytest.mark.parametrize("parted", [False, True])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_transactions_without_an_answer_are_carried_out_after_newer_ones(seed, parted):
+    world = World(seed=seed, parted=parted)
+    world.run_until(world.leader)
+    world.late_writes = 0.25
+    asked = {}
+    for n in range(1, 26):
+        spec = job(n, tasks=1 + n % 3, cpus=2.0, run_s=4.0 + n % 7)
+        asked[n] = world.submit(spec)
+        step(world, 1.0)
+        if asked[n].status not in (200, 201):
+            asked[n] = world.submit(spec)
+        if n % 4 == 0:
+            world.cancel(f"req-{n:06d}")
+        if n % 9 == 0:
+            world.crash(world.rng.choice(world.names), 0.3)
+        world.poll(f"req-{max(1, n - 5):06d}")
+        step(world, 2.0)
+    world.finish()
+
+
+def test_jobs_of_a_few_tasks_end_far_apart_across_a_change_of_leader():
+    world = started_world([job(n, tasks=3, cpus=1.0, run_s=15.0) for n in range(1, 9)], 24)
+    world.late_writes = 0.2
+    for _ in range(4):
+        ended = len(world.completed)
+        world.run_until(lambda before=ended: len(world.completed) > before, 60)
+        world.run(0.4)
+        old = world.leader()
+        if old:
+            world.crash(old, 3.0)
+        step(world, 4.0)
+    world.finish()
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_cancellations_questions_and_repeats_meet_the_end_of_the_last_task(seed):
+    world = World(seed=seed)
+    world.run_until(world.leader)
+    users = []
+    for n in range(1, 21):
+        spec = job(n, tasks=1, cpus=1.0, run_s=3.0)
+        world.submit(spec)
+        step(world, 2.0)
+    for n in range(21, 41):
+        world.submit(job(n, tasks=1, cpus=1.0, run_s=3.0))
+        task = f"req-{n:06d}/0"
+        world.run_until(lambda t=task: t in world.completed, 60)
+        for _ in range(8):
+            world.run(world.rng.uniform(0.0, 0.12))
+            users += [world.poll(f"req-{n:06d}"), world.submit(world.specs[f"req-{n:06d}"])]
+            if n % 2:
+                users.append(world.cancel(f"req-{n:06d}"))
+    world.run(2.0)
+    assert {u.status for u in users} == {200}
+    world.finish()
+
+
+@pytest.mark.parametrize("parted", [False, True])
+def test_a_zone_with_workers_and_a_controller_is_cut_off_for_longer_than_a_lease(parted):
+    specs = [job(n, tasks=3, run_s=30.0, team="red" if n % 2 else "blue") for n in range(1, 7)]
+    world = started_world(specs, 12, parted=parted)
+    for zone, name in (("a", "n0"), ("b", "n1"), ("c", "n2")):
+        inside = {name, *(w.name for w in world.cloud.workers() if w.zone == zone)}
+        outside = {*world.names, *(w.name for w in world.cloud.workers())} - inside
+        for one in inside:
+            for other in [*outside, "state", "cloud"]:
+                world.cut(one, other)
+        for n in (1, 2):
+            world.cancel(f"req-{n:06d}")
+        step(world, 1.5 * world.lease_s)
+        world.heal()
+        step(world, 5.0)
+    world.finish()
+
+
+@pytest.mark.parametrize("parted", [False, True])
+def test_leaders_change_ten_times_in_two_minutes_also_inside_an_outage(parted):
+    specs = [job(n, tasks=4, cpus=2.0, run_s=60.0) for n in range(1, 6)]
+    world = started_world(specs, 20, parted=parted)
+    for turn in range(10):
+        old = world.leader()
+        if old is not None:
+            if turn % 3:
+                world.crash(old, world.rng.choice([0.1, 0.5, 3.0]))
+            else:
+                world.nodes[old].authority.step_down(world.now, "told to")
+        if turn in (3, 7):
+            world.outage(8.0)
+        world.submit(job(10 + turn, tasks=2, cpus=1.0, run_s=5.0))
+        step(world, 10.0)
+    world.finish()
+
+
+@pytest.mark.parametrize("back", [0.2, 4.0])
+def test_all_controllers_are_away_for_longer_than_a_lease(back):
+    world = started_world([job(n, tasks=3, run_s=40.0) for n in range(1, 5)], 12)
+    names = list(world.names)
+    for n, name in enumerate(names):
+        world.crash(name, 1.5 * world.lease_s + n * back)
+    world.run(1.5 * world.lease_s + 10.0)
+    assert all(not w.on_it() or w.session > 1 for w in world.cloud.workers())
+    world.finish()
+
+
+@pytest.mark.parametrize("trouble", ["unreachable", "deaf", "mute", "hung"])
+@pytest.mark.parametrize("parted", [False, True])
+def test_a_leader_ends_while_machines_with_long_tasks_do_not_hear_the_new_one(trouble, parted):
+    world = started_world(
+        [job(n, tasks=4, run_s=100.0, slot="slow") for n in (1, 2)], 8, parted=parted)
+    victims = [w for w in world.cloud.workers() if w.on_it()][:2]
+    old = world.leader()
+    for worker in victims:
+        if trouble == "deaf":
+            world.deaf.add(worker.name)
+        elif trouble == "mute":
+            world.mute.add(worker.name)
+        elif trouble == "hung":
+            worker.hang(0.8 * world.lease_s)
+        else:
+            for name in world.names:
+                world.cut(name, worker.name)
+    world.crash(old, 6.0)
+    new_leader(world, old)
+    world.cancel("req-000001")
+    world.submit(job(3, tasks=4, run_s=5.0))
+    step(world, 2.5 * world.lease_s)
+    world.finish(500.0)
+
+
+@pytest.mark.parametrize("share", ["some", "zone", "all"])
+def test_workers_reach_no_controller_while_direct_commands_reach_them(share):
+    world = started_world([job(n, tasks=2, run_s=6.0) for n in range(1, 5)], 8)
+    workers = world.cloud.workers()
+    chosen = {"some": workers[:1], "zone": [w for w in workers if w.zone == "a"], "all": workers}
+    world.mute = {w.name for w in chosen[share]}
+    # New work all the time: direct commands go on, and their answers must not pass for reports.
+    for n in range(10, 10 + int(3 * world.lease_s)):
+        world.submit(job(n, tasks=1, cpus=1.0, run_s=25.0 if n % 3 else 2.0))
+        step(world, 1.0)
+    if share == "some":
+        assert not any(w.name in world.mute for w in world.cloud.workers()), "still kept"
+    world.finish(500.0)
+
+
+def test_a_report_is_held_back_until_a_new_leader_has_acted():
+    world = started_world([job(n, tasks=2, run_s=20.0) for n in range(1, 5)], 8)
+    held = [(w, w.sent[-1][1]) for w in world.cloud.workers()]
+    old = world.leader()
+    world.crash(old, 4.0)
+    new = new_leader(world, old)
+    world.run_until(lambda: any(o.ready for n in world.nodes.values() for o in n.owners), 10)
+    world.cancel("req-000001")
+    for _ in range(10):
+        for _, body in held:
+            world.copy(new, body)
+        step(world, 2.0)
+    world.finish()
+
+
+def test_old_reports_arrive_after_newer_ones_also_of_earlier_sessions_and_attempts():
+    world = World(seed=4)
+    world.run_until(world.leader)
+    world.late_reports = 0.4
+    for n in range(1, 31):
+        world.submit(job(n, tasks=2, cpus=4.0, run_s=6.0))
+        if n in (10, 20):
+            # A lease that runs out makes a new session; what was said before it comes after.
+            for worker in world.cloud.workers()[:2]:
+                worker.hang(1.2 * world.lease_s)
+        if n in (12, 25):
+            world.crash(world.rng.choice(world.names), 0.2)
+        step(world, 2.0)
+    world.finish()
+
+
+@pytest.mark.parametrize("for_s", [2.0, 5.0, 10.0, 14.0])
+def test_a_command_or_its_answer_is_held_up_for_seconds_and_the_machine_goes_on(for_s):
+    world = started_world([job(1, tasks=4, run_s=50.0)], 4)
+    for n in range(2, 14):
+        world.submit(job(n, tasks=2, cpus=2.0, run_s=4.0 if n % 2 else 60.0))
+        for worker in world.cloud.workers():
+            if world.rng.random() < 0.3 and not worker.hung:
+                worker.hang(for_s)
+        world.run(world.rng.uniform(0.0, 0.6))
+        if n % 3 == 0:
+            world.cancel(f"req-{n:06d}")
+        step(world, 3.0)
+    world.finish()
+
+
+@pytest.mark.parametrize("parted", [False, True])
+def test_jobs_bound_to_one_zone_lose_machines(parted):
+    world = World(seed=2, parted=parted)
+    world.run_until(world.leader)
+    world.submit(job(1, tasks=6, cpus=8.0, run_s=15.0, hall="b"))
+    world.submit(job(2, tasks=6, cpus=8.0, run_s=15.0, same_place=True, team="blue"))
+    world.submit(job(3, tasks=5, cpus=8.0, run_s=15.0, hall="b", borrowed=False))
+    world.submit(job(4, tasks=4, cpus=4.0, run_s=15.0, spread=True, hall="c"))
+    world.submit(job(5, tasks=4, cpus=4.0, run_s=15.0, spread=True, same_place=True))
+    world.run_until(lambda: running(world) >= 8, 90)
+    for _ in range(3):
+        for worker in [w for w in world.cloud.workers() if w.on_it()][::2]:
+            world.cloud.take(worker.name)
+        step(world, 12.0)
+    world.finish(400.0)
+
+
+def test_the_zone_that_a_job_is_tied_to_gets_the_machines():
+    # Rented elsewhere, they were of no use to it: they idled and went back, again and again.
+    world = World(seed=2)
+    world.cloud.capacity = {(z, s): 6 for z in "abc" for s in (True, False)}
+    world.run_until(world.leader)
+    world.submit(job(1, tasks=1, cpus=16.0, run_s=200.0, same_place=True, slot="none"))
+    world.run_until(lambda: running(world) == 1, 60)
+    world.submit(job(2, tasks=3, cpus=16.0, run_s=40.0, same_place=True))
+    world.run_until(lambda: running(world) == 4, 60)
+    world.finish(500.0)
+
+
+@pytest.mark.parametrize("parted", [False, True])
+@pytest.mark.parametrize("trouble", ["cut", "deaf", "hung"])
+def test_a_team_is_at_its_limit_when_the_leader_changes_and_a_job_is_cancelled(parted, trouble):
+    specs = [job(n, tasks=3, cpus=4.0, run_s=200.0, team="blue") for n in range(1, 5)]
+    world = started_world([*specs, job(9, tasks=4, run_s=50.0)], 16, parted=parted)
+    for n in range(20, 24):
+        world.submit(job(n, tasks=3, cpus=4.0, run_s=5.0, team="blue"))
+    world.run(3.0)
+    old = world.leader()
+    for worker in [w for w in world.cloud.workers() if w.on_it()][::2]:
+        if trouble == "deaf":
+            world.deaf.add(worker.name)
+        elif trouble == "hung":
+            worker.hang(0.9 * world.lease_s)
+        else:
+            for name in world.names:
+                world.cut(name, worker.name)
+    world.crash(old, 1.0)
+    world.run(1.5)
+    users = [world.cancel("req-000001"), world.cancel("req-000002")]
+    step(world, 2.0 * world.lease_s)
+    assert {u.status for u in users} <= {200, 503}
+    world.finish(600.0)
+
+
+def test_the_state_service_answers_slowly_while_users_cancel_and_ask():
+    world = started_world([job(n, tasks=2, cpus=2.0, run_s=10.0) for n in range(1, 9)], 12)
+    world.slow_state = 0.5
+    for n in range(10, 25):
+        world.submit(job(n, tasks=2, cpus=2.0, run_s=6.0))
+        world.cancel(f"req-{n - 6:06d}" if n % 2 else "req-000003")
+        world.poll(f"req-{n - 2:06d}")
+        step(world, 2.0)
+    world.finish()
+
+
+@pytest.mark.parametrize("parted", [False, True])
+def test_a_leader_keeps_workers_and_users_alone_and_jobs_are_cancelled_elsewhere(parted):
+    specs = [job(n, tasks=2, run_s=120.0, slot="slow") for n in range(1, 7)]
+    world = started_world(specs, 12, parted=parted)
+    old = world.leader()
+    world.isolate(old)
+    new = new_leader(world, old)
+    users = [world.cancel(f"req-{n:06d}", new) for n in range(1, 4)]
+    alone = [world.poll(f"req-{n:06d}", old) for n in range(1, 7)]
+    step(world, 1.2 * world.cancel_s)
+    assert [u.status for u in users] == [200] * 3 and all(p.status == 503 for p in alone)
+    world.finish(500.0)
+
+
+@pytest.mark.parametrize("parted", [False, True])
+@pytest.mark.parametrize("back", [0.1, 0.6, 5.0])
+def test_controllers_hand_over_and_back_all_end_and_one_returns(back, parted):
+    world = started_world(
+        [job(n, tasks=4, cpus=2.0, run_s=60.0) for n in range(1, 5)], 16, parted=parted)
+    first = world.leader()
+    world.nodes[first].authority.step_down(world.now, "hand over", shun=3.0)
+    second = new_leader(world, first)
+    world.nodes[second].authority.step_down(world.now, "hand back", shun=3.0)
+    new_leader(world, second)
+    for name in world.names:
+        world.crash(name, back if name == first else 8.0)
+    world.run(1.0)
+    step(world, 12.0)
+    world.finish()
+
+
+@pytest.mark.parametrize("length", [0.8, 1.0, 1.05, 1.1, 1.2, 1.4, 2.0])
+def test_a_leader_is_refused_alone_for_about_the_life_of_its_key(length):
+    """Its key ends while promises carry it, it wins again: members must get grants again."""
+    specs = [job(n, tasks=4, run_s=40.0, team="red" if n % 2 else "blue") for n in range(1, 5)]
+    world = started_world(specs, 12, parted=True)
+    old = world.leader()
+    world.refused.add(old)
+    step(world, length * 0.22 * world.lease_s)
+    world.refused.clear()
+    step(world, 3.0 * world.lease_s)
+    owners = {o.pool: n for n, node in world.nodes.items() for o in node.owners}
+    assert len(set(owners.values())) == 2, "one member has all pools for good"
+    world.finish()
+
+
+ODD = [
+    (400, {"cpus": True}), (400, {"cpus": "4.0"}), (400, {"pages": True}), (400, {"pages": "2"}),
+    (400, {"pages": 2.5}), (400, {"pages": -1}), (400, {"pages": 10**20}), (400, {"pages": None}),
+    (400, {"cpus": None}), (400, {"edition_s": -1.0}), (400, {"edition_s": "soon"}),
+    (400, {"hall": 3}), (400, {"racks": [1]}), (400, {"same_place": 1}), (400, {"slot": ""}),
+    (400, {"memory_gb": -0.1}), (400, {"flush_s": -1.0}), (400, {"desk": None}),
+    (400, {"racks": ["box", *(f"none-{n:030d}" for n in range(1000))]}),
+    (422, {"cpus": 1e300}), (422, {"memory_gb": 1e18}), (422, {"cards": 1e-3}),
+    (422, {"racks": []}), (422, {"racks": ["?"], "hall": "a"}), (422, {"hall": ""}),
+    (201, {"cpus": 0.0, "memory_gb": 0.0}), (201, {"cpus": 4}), (201, {"edition_s": 0.0}),
+    (201, {"spread": True, "same_place": True, "pages": 3}),
+    (201, {"spread": True, "hall": "a", "pages": 3}), (201, {"racks": ["box", "?"]}),
+    (201, {"cpus": 0.0}), (201, {"runtime_s": 0.0}),
+]
+
+
+def test_odd_submissions_get_the_same_answer_each_time_and_what_is_accepted_runs():
+    world = World(seed=6)
+    world.run_until(world.leader)
+    world.run(2.0)
+    for n, (status, odd) in enumerate(ODD, 1):
+        spec = {**job(n, tasks=1, run_s=3.0), **odd}
+        for name in world.names:
+            if status == 201:
+                user = world.submit(spec, name)
+            else:
+                raw = json.dumps(spec).encode()
+                user = world.ask(lambda desk, u, r=raw: desk.submit(world.now, u, r), name)
+            world.run(0.3)
+            assert user.status == status or (status, user.status) == (201, 200), (odd, user.body)
+    for raw in (b"NaN", b"Infinity", b"-Infinity", b"1e999", b"[]", b"{}"):
+        body = json.dumps(job(90)).encode().replace(b'"cpus": 4.0', b'"cpus": ' + raw)
+        user = world.ask(lambda desk, u, r=body: desk.submit(world.now, u, r))
+        world.run(0.3)
+        assert user.status == 400, raw
+    for field in job(91):
+        if field not in ("racks", "hall", "edition_s"):
+            short = json.dumps({k: v for k, v in job(91).items() if k != field}).encode()
+            user = world.ask(lambda desk, u, r=short: desk.submit(world.now, u, r))
+            world.run(0.3)
+            assert user.status == 400, field
+    world.finish()
