--- a/src/copperpass/core/dispatch.py
+++ b/src/copperpass/core/dispatch.py
@@ -371,13 +371,17 @@
 
 
 def gang_hold(
-    job: Job, usable: list[Machine], machines: dict[str, Machine], now: float, kept: frozenset[str]
+    job: Job, usable: list[Machine], machines: dict[str, Machine], now: float,
+    kept: frozenset[str], partly: bool,
 ) -> tuple[list[Machine], float] | None:
-    """The machines where a gang will find room for all its tasks soonest, and when."""
+    """The machines where a gang will find room for all its tasks soonest, and when.
+
+    `partly`: if there is no room for all, where there is most: the rest is to be rented there.
+    """
     spec, need = job.spec, len(job.missing())
     allowed = [m for m in usable if allows(spec, m.type, m.zone, m.spot)
                and type_fits(spec, m.type) and not m.held_from(spec.id, now)]
-    best: tuple[float, int, list[Machine]] | None = None
+    best: tuple[int, float, int, list[Machine]] | None = None
     most = (spec.tasks + 1) // 2 if spec.spread else spec.tasks
     for zones in _zones(job, {m.zone for m in allowed}, machines):
         # Each machine's free places, one after the other, by when they are there.
@@ -407,12 +411,14 @@
                 continue
             counts[machine.zone] = counts.get(machine.zone, 0) + 1
             chosen.append((ready, machine))
-        if len(chosen) == need:
+        if chosen:
             last = chosen[-1][0]
             hold = list({m.name: m for _, m in chosen}.values())
-            if best is None or (last, len(hold)) < best[:2]:
-                best = (last, len(hold), hold)
-    return (best[2], now + best[0]) if best else None
+            if best is None or (need - len(chosen), last, len(hold)) < best[:3]:
+                best = (need - len(chosen), last, len(hold), hold)
+    if best is None or (best[0] > 0 and not partly):
+        return None
+    return best[3], now + best[1]
 
 
 def victims(
--- a/src/copperpass/core/fleet.py
+++ b/src/copperpass/core/fleet.py
@@ -103,6 +103,8 @@
     held_until: float = 0.0
     # When all room that a gang waits for will be free, if it is held for one.
     held_ready: float = 0.0
+    # Until when it isn't idle, since a gang counts on its room.
+    wanted_until: float = 0.0
     do_in_flight: bool = False
     do_broken_until: float = 0.0
     errors: set[str] = field(default_factory=set)
--- a/src/copperpass/core/holder.py
+++ b/src/copperpass/core/holder.py
@@ -148,7 +148,7 @@
     def _tell(self, now: float) -> None:
         for owner in self.owners.values():
             owner.parting = False
-            for status in owner.statuses():
+            for status in owner.statuses(now):
                 self.table.put(status)
         while self.feed.sent < self.table.seq:
             before, upto, statuses = self.feed.next(BATCH)
--- a/src/copperpass/core/jobs.py
+++ b/src/copperpass/core/jobs.py
@@ -65,6 +65,8 @@
     attempt: int = 0
     begun: bool = False
     ending: bool = False
+    # Since when some of an attempt's tasks have had no place while others wait.
+    short_since: float | None = None
 
     def is_done(self, index: int) -> bool:
         """Whether the task's end is stored."""
@@ -110,6 +112,7 @@
         self.next_index = self.failures = 0
         self.storing, self.hold_until = False, 0.0
         self.attempt, self.begun, self.ending = 0, False, False
+        self.short_since = None
 
     def waiting(self) -> int:
         """How many tasks are neither placed nor done."""
@@ -135,6 +138,10 @@
             return index
         return None
 
+    def shown(self) -> int:
+        """How many tasks run, for display: a gang's tasks that wait for each other don't."""
+        return 0 if self.spec.gang and not self.begun else len(self.placed)
+
     def missing(self) -> list[int]:
         """The tasks of a gang that have no place."""
         return [i for i in range(self.spec.tasks)
@@ -144,6 +151,7 @@
         """Once no task of a gang's attempt can be anywhere, another attempt may begin."""
         if not self.placed and (self.ending or self.attempt):
             self.attempt, self.begun, self.ending = 0, False, False
+            self.short_since = None
 
     def release(self, index: int) -> None:
         """A task is proven gone without an end: it may start again."""
--- a/src/copperpass/core/landlord.py
+++ b/src/copperpass/core/landlord.py
@@ -290,6 +290,13 @@
                   proven=proven, contact=contact)
         self.added[pool] = self.table.seq
 
+    def wait_out(self, before: Landlord) -> None:
+        """Give no pool while a grant of one's own earlier term may run."""
+        until = max((t.granted_until for n, t in before.tenants.items() if n != self.member),
+                    default=float("-inf"))
+        for pool in self.pools.values():
+            pool.free_at = max(pool.free_at, until)
+
     def _live(self, now: float) -> list[str]:
         return [name for name, t in self.tenants.items()
                 if name == self.member or now - t.heard < 0.75 * self.grant_s]
@@ -606,15 +613,20 @@
             self.ordinary_have[held.entry.pool] -= held.type.cpus
 
     def _gang_zone(
-        self, spec: wire.Spec, count: int, rooms: list[rental.Room], spare: list[Held]
+        self, now: float, spec: wire.Spec, count: int, rooms: list[rental.Room],
+        spare: list[Held],
     ) -> str | None:
-        """The zone where most of a gang's tasks find room already; None if there is none."""
+        """The zone where most of a gang's tasks find room already and the rest can be rented."""
         slots: dict[str, int] = {}
         offers = rooms + [rental.new_room(h.type, h.place) for h in spare]
         for room in offers:
             slots[room.zone] = slots.get(room.zone, 0) + room.slots(spec, count, self.boot_s)
-        best = max(sorted(slots), key=lambda z: slots[z], default=None)
-        return best if best is not None and slots[best] > 0 else None
+        for zone in sorted(slots, key=lambda z: (-slots[z], z)):
+            if slots[zone] > 0 and (slots[zone] >= count or rental.choose_place(
+                spec, 1, self.types, {}, self.refusals, now, False, set(), zone
+            )):
+                return zone
+        return None
 
     def _mixes(self) -> dict[str, list[float]]:
         """What is left to do of each team: tasks, their CPUs, their GPUs or memory."""
@@ -676,17 +688,22 @@
                  and not h.entry.back and h.entry.pool != UNPOOLED]
         spare.sort(key=lambda h: dispatch.price_of(h.type, h.entry.spot) / h.type.cpus)
         cover = self._cover(serving)
+        theirs: list[rental.Room] | None = None
         for job, count, horizon in pool.wants:
-            spec = job.spec
+            # Where the leader owns the pool too, it knows the zone that a job is tied to.
+            spec = rental.tied(job.spec, (
+                self.machines[m].entry.zone for m in job.placed.values() if m in self.machines))
             closed = self.scarce.closed_to(spec)
             zone: str | None = None
-            if spec.gang:
-                left = rental.fill_gang(rooms, spec, count, horizon, closed)
-                if left > 0 and spec.one_zone:
-                    # All of it in one zone: what is there already, then what is moved or rented.
-                    zone = self._gang_zone(spec, count, rooms, spare)
-                    here = [r for r in rooms if r.zone == zone]
-                    left = rental.fill(here, spec, count, horizon, closed)
+            if spec.gang and spec.one_zone:
+                # All of it in one zone: what the pool has there, then what is moved or rented. The
+                # owner asks for the whole: only the leader can complete what one zone has.
+                if theirs is None:
+                    theirs = [rental.left_room(h.type, h.place, h.used_cpus)
+                              for h in serving if h.entry.pool == pool.number]
+                zone = spec.zone or self._gang_zone(now, spec, count, rooms + theirs, spare)
+                here = [r for r in rooms + theirs if r.zone == zone]
+                left = rental.fill(here, spec, count, horizon, closed)
             else:
                 left = rental.fill(rooms, spec, count, horizon, closed)
             # Work that can wait for longer than a boot asks only for the cheap kind at first.
--- a/src/copperpass/core/node.py
+++ b/src/copperpass/core/node.py
@@ -249,7 +249,7 @@
         if job is None:
             return 0, 0
         if self.pools.get(job.spec.team, 0) in self.holder.owners:
-            return job.done_count, len(job.placed)
+            return job.done_count, job.shown()
         told = (counts.get(job_id, 0) for counts in self.peer_counts.values())
         return job.done_count, max(told, default=0)
 
@@ -267,6 +267,8 @@
                 self._use_types(offer)
         elif key.startswith(LIVE):
             job, over = self.jobs.saw(now, key, raw, version)
+            if raw is None:
+                self.desk.note_removed(key[len(LIVE):])
             for owner in self.owners:
                 if over and job is not None:
                     owner.job_over(now, job)
@@ -280,7 +282,8 @@
                 self.landlord.saw_fleet(*self.fleet)
 
     def _authority_changed(self, now: float, leading: bool, continued: bool) -> None:
-        if leading and continued and self.landlord is not None:
+        before = self.landlord
+        if leading and continued and before is not None and len(before.pools) == 1:
             # Nobody else can have commanded in between: the term goes on under a higher counter.
             return
         if not leading:
@@ -293,6 +296,10 @@
         self.landlord = Landlord(
             self.cluster, self.out, self.ledger, self.jobs, self.types, self.authority, self.fleet,
             self.pools, hints, owned, holder.incarnation, self._linked, now, self.tuning)
+        if continued and before is not None:
+            # Members follow the new token, so they need a term under it. The grants of the term
+            # before have not ended with an authority that goes on: they are waited out.
+            self.landlord.wait_out(before)
         holder.lead(self.landlord)
 
     def _make_owner(self, share: peer.Share) -> Owner:
@@ -337,8 +344,8 @@
         if self.owners and now >= self.next_counts:
             self.next_counts = now + 1.0
             counts = {
-                j: len(job.placed) for j, job in self.jobs.jobs.items()
-                if job.placed and self.pools.get(job.spec.team, 0) in self.holder.owners
+                j: job.shown() for j, job in self.jobs.jobs.items()
+                if job.shown() and self.pools.get(job.spec.team, 0) in self.holder.owners
             }
             for other in self.authority.others:
                 self.out.send(other, peer.Counts(counts))
--- a/src/copperpass/core/owner.py
+++ b/src/copperpass/core/owner.py
@@ -268,11 +268,12 @@
         self.machines.pop(machine.name, None)
         self.images.pop(machine.name, None)
 
-    def statuses(self) -> list[Status]:
+    def statuses(self, now: float) -> list[Status]:
         """What the leader should know of the machines and has not been told."""
         told = list(self.given.values())
         for m in self.machines.values():
-            idle = m.up and m.recorded and m.empty()
+            # What is held for somebody must not be taken for idle and given back.
+            idle = m.up and m.recorded and m.empty() and now >= m.wanted_until
             settled = m.settled and not m.foreign
             last = m.told
             if (
@@ -306,6 +307,8 @@
             if spec.cpus > 0:
                 count = min(count, max(0, int(room / spec.cpus)))
             horizon = max(0.0, self.aims.needed(job, now) - now)
+            where = (self.machines[m].zone for m in job.placed.values() if m in self.machines)
+            spec = rental.tied(spec, where)
             fill = rental.fill_gang if spec.gang else rental.fill
             left = fill(rooms, spec, count, horizon, self.scarce.closed_to(spec))
             if left > 0:
@@ -1034,6 +1037,8 @@
         smallest = min((j.spec.cpus for j in jobs if j.spec.cpus > 0), default=0.0)
         roomy = [m for m in usable if fits(smallest, m.type.cpus - m.used_cpus)]
         self._keep_ordinary(now, jobs, usable)
+        # What a gang waits for under its team's limit.
+        quota: dict[str, tuple[float, float]] = {}
         holding: set[str] = set()
         # Jobs that room is held for, by stopping tasks or for want of a large gap.
         held = {m.held_for for m in usable if now < m.held_until}
@@ -1063,7 +1068,12 @@
                     used[name] = (used[name][0] + len(placed) * spec.cpus,
                                   used[name][1] + len(placed) * spec.gpus)
                     running[name] += len(placed)
-                elif placed is not None:
+                elif placed is None:
+                    if name not in quota and self.aims.due(job, now) - now < self.boot_s:
+                        # Tasks of the team that come after it would take each gap under the limit.
+                        missing = len(job.missing())
+                        quota[name] = (missing * spec.cpus, missing * spec.gpus)
+                else:
                     stuck.append(job)
                     if "gang" not in holding:
                         # As in the design: freed room is held for one gang at a time.
@@ -1074,8 +1084,9 @@
             if index is None:
                 order[name].pop(0)
                 continue
-            over = not fits(used[name][0] + spec.cpus, team.cpus_max) or not fits(
-                used[name][1] + spec.gpus, team.gpus_max
+            kept = quota.get(name, (0.0, 0.0))
+            over = not fits(used[name][0] + kept[0] + spec.cpus, team.cpus_max) or not fits(
+                used[name][1] + kept[1] + spec.gpus, team.gpus_max
             )
             machine = None
             # Work that can wait does so for cheap room; dear room is for what can't.
@@ -1150,7 +1161,14 @@
             tight=True, since=len(log))
         plan = dispatch.plan_gang(ranking, self.machines)
         if plan is None:
+            if job.placed:
+                # Some wait for the rest, which has no room in their zone: better all anew than
+                # to hold machines until they give up.
+                job.short_since = now if job.short_since is None else job.short_since
+                if now - job.short_since > self.gang_notice_s:
+                    self._end_gang(now, job, "no room for the rest", 0.0)
             return []
+        job.short_since = None
         if not job.attempt:
             job.attempts += 1
             job.attempt = self._attempt(job)
@@ -1160,11 +1178,17 @@
 
     def _hold_for_gang(self, now: float, job: Job, usable: list[Machine]) -> set[str]:
         """Hold the room where a gang can start soonest; returns whom room is held for."""
-        if self.aims.due(job, now) - now > self.tuning.patient_boots * self.boot_s:
-            return set()
-        found = dispatch.gang_hold(job, usable, self.machines, now, self.kept)
+        # Bounded: room for a part of a gang is no use to anybody for as long as it is held.
+        partly = now - job.arrived < self.tuning.patience_s
+        found = dispatch.gang_hold(job, usable, self.machines, now, self.kept, partly)
         if found is None:
             return set()
+        for machine in found[0]:
+            # Not to be given back while a gang waits for the rest of its room.
+            machine.wanted_until = now + self.report_s
+        if self.aims.due(job, now) - now > self.tuning.patient_boots * self.boot_s:
+            # What comes last holds nothing up.
+            return set()
         for machine in found[0]:
             machine.held_for, machine.held_until = job.spec.id, now + self.report_s
             machine.held_ready = found[1]
--- a/src/copperpass/core/rental.py
+++ b/src/copperpass/core/rental.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+import msgspec
+
 from copperpass import wire
 from copperpass.core.dispatch import Aims, price_of, remaining
 from copperpass.core.fleet import Machine, allows, type_fits
@@ -230,7 +232,9 @@
             continue
         cpus, gpus, memory = m.room()
         frees = [
-            (remaining(p, now), p.cpus, p.gpus, p.memory_gb) for p in m.tasks.values() if p.active
+            # A gang's task that waits for the others ends after them, not by itself.
+            (remaining(p, now), p.cpus, p.gpus, p.memory_gb) for p in m.tasks.values()
+            if p.active and p.state != wire.GATHERING
         ]
         rooms.append(Room(m.type, m.zone, m.spot, cpus, gpus, memory, frees))
     return rooms
@@ -245,12 +249,32 @@
     return tight or (wait is not None and wait < boot_s)
 
 
+def left_room(
+    machine_type: wire.MachineType, place: Place, used_cpus: float
+) -> Room:
+    """About what a machine offers beside what runs there; its memory is taken to be as full."""
+    part = 1.0 - used_cpus / machine_type.cpus if machine_type.cpus > 0 else 1.0
+    return Room(machine_type, place[1], place[2], machine_type.cpus - used_cpus,
+                machine_type.gpus * part, machine_type.memory_gb * part, [])
+
+
 def new_room(machine_type: wire.MachineType, place: Place) -> Room:
     """What an empty machine offers."""
     return Room(machine_type, place[1], place[2],
                 machine_type.cpus, machine_type.gpus, machine_type.memory_gb, [])
 
 
+def tied(spec: wire.Spec, zones: Iterable[str]) -> wire.Spec:
+    """A job as it may still be placed: in one zone for all, where its other tasks are.
+
+    Counted and rented elsewhere, room is of no use to it: machines came up, idled and went back.
+    """
+    if not spec.one_zone or spec.zone is not None:
+        return spec
+    zone = next(iter(zones), None)
+    return spec if zone is None else msgspec.structs.replace(spec, zone=zone)
+
+
 def fill(
     rooms: list[Room], spec: wire.Spec, count: int, horizon: float, closed: set[str]
 ) -> int:
