--- a/src/copperpass/core/owner.py
+++ b/src/copperpass/core/owner.py
@@ -28,7 +28,7 @@
     type_fits,
     zone_allows,
 )
-from copperpass.core.jobs import LIVE, OVER, Job, JobTable, fits, parse_task, task_id
+from copperpass.core.jobs import EPS, LIVE, OVER, Job, JobTable, fits, parse_task, task_id
 from copperpass.core.ledger import APPLIED, Ledger, Op
 from copperpass.core.ports import NOT_SENT, Call, Outbox, Outcome
 from copperpass.core.progress import Progress
@@ -147,6 +147,7 @@
         self.kept: frozenset[str] = frozenset()
         self.ordinary_peak = rental.Peak(self.tuning.warm_window_boots * self.boot_s)
         self.gang_notice_s = cluster.workers.gang_notice_s
+        self.gang_wait_s = cluster.workers.gang_wait_s or 2 * cluster.workers.lease_s
         self.next_scan = now
         self.next_round = now
         self.by_team = {t.name: t for t in self.teams}
@@ -305,8 +306,15 @@
                 continue
             taken[spec.team] += count * spec.cpus
             if spec.cpus > 0:
-                count = min(count, max(0, int(room / spec.cpus)))
+                under = max(0, int(room / spec.cpus + EPS))
+                if spec.gang and under < count:
+                    # Its team's limit has no room for the whole, so it needs no machines.
+                    continue
+                count = min(count, under)
             horizon = max(0.0, self.aims.needed(job, now) - now)
+            if spec.gang and job.placed:
+                # The rest of a gang waits for it: what they take isn't free before.
+                horizon = 0.0
             where = (self.machines[m].zone for m in job.placed.values() if m in self.machines)
             spec = rental.tied(spec, where)
             fill = rental.fill_gang if spec.gang else rental.fill
@@ -1038,7 +1046,7 @@
         roomy = [m for m in usable if fits(smallest, m.type.cpus - m.used_cpus)]
         self._keep_ordinary(now, jobs, usable)
         # What a gang waits for under its team's limit.
-        quota: dict[str, tuple[float, float]] = {}
+        quota: dict[str, tuple[float, float, float]] = {}
         holding: set[str] = set()
         # Jobs that room is held for, by stopping tasks or for want of a large gap.
         held = {m.held_for for m in usable if now < m.held_until}
@@ -1072,7 +1080,7 @@
                     if name not in quota and self.aims.due(job, now) - now < self.boot_s:
                         # Tasks of the team that come after it would take each gap under the limit.
                         missing = len(job.missing())
-                        quota[name] = (missing * spec.cpus, missing * spec.gpus)
+                        quota[name] = (job.arrived, missing * spec.cpus, missing * spec.gpus)
                 else:
                     stuck.append(job)
                     if "gang" not in holding:
@@ -1084,7 +1092,10 @@
             if index is None:
                 order[name].pop(0)
                 continue
-            kept = quota.get(name, (0.0, 0.0))
+            since, *kept = quota.get(name, (0.0, 0.0, 0.0))
+            if job.arrived <= since:
+                # What has waited for longer isn't held up: neither starves the other.
+                kept = [0.0, 0.0]
             over = not fits(used[name][0] + kept[0] + spec.cpus, team.cpus_max) or not fits(
                 used[name][1] + kept[1] + spec.gpus, team.gpus_max
             )
@@ -1165,7 +1176,7 @@
                 # Some wait for the rest, which has no room in their zone: better all anew than
                 # to hold machines until they give up.
                 job.short_since = now if job.short_since is None else job.short_since
-                if now - job.short_since > self.gang_notice_s:
+                if now - job.short_since > self.gang_wait_s / 2:
                     self._end_gang(now, job, "no room for the rest", 0.0)
             return []
         job.short_since = None
