Keep ends that an earlier owner stored when their record is written again

The view brought a record of ends later than the new owner had read it; the next write dropped them, and tasks that had ended long ago ran again after the next change of leader. A late copy of the offer can't replace a newer one either. Guard: test_ends_that_an_earlier_owner_stored_are_not_written_over.

--- a/src/copperpass/core/node.py
+++ b/src/copperpass/core/node.py
@@ -378,6 +378,8 @@
             return
         self.ledger.submit(
             now,
-            Op({TOKEN: self.authority.win_revision}, [wire.put(TYPES, msgspec.to_builtins(offer))],
+            # Written once: a late copy must not bring an older offer back.
+            Op({TOKEN: self.authority.win_revision, TYPES: 0},
+               [wire.put(TYPES, msgspec.to_builtins(offer))],
                lambda n, how, rev: None, now + self.ttl, GATHERED),
         )
--- a/src/copperpass/core/progress.py
+++ b/src/copperpass/core/progress.py
@@ -95,6 +95,16 @@
 
     def _write(self, now: float, page: Page) -> None:
         page.writing, page.since = True, None
+        for job_id in self.jobs.pages.get(page.key, ()):
+            # Ends stored by an earlier owner that the view brought later than our beginning: a
+            # record written without them would lose them.
+            job = self.jobs.jobs.get(job_id)
+            if job is None or job_id in self.page_of:
+                continue
+            if page.size + _size(job) <= self.room:
+                self._put(job, page)
+            else:
+                self.note(now, job)
         noted = {job_id: (job, set(job.finished)) for job_id, job in page.jobs.items()}
         value = {job_id: pack_done(job.mask()) for job_id, (job, _) in noted.items()
                  if job.done_count or job.finished}
