Promise nothing while a campaign of one's own may yet be carried out

Carried out late it makes the member the winner of the last token, and a member that restarts and has won it skips its quiet time: with a promise given in between to a leader on a bridge there could be two. Guard: test_a_member_whose_campaign_may_yet_be_carried_out_promises_nothing.

--- a/src/copperpass/core/authority.py
+++ b/src/copperpass/core/authority.py
@@ -22,7 +22,7 @@
 import msgspec
 
 from copperpass import peer, wire
-from copperpass.core.ledger import APPLIED, CONFLICT, URGENT, Ledger, Op
+from copperpass.core.ledger import APPLIED, CONFLICT, UNKNOWN, URGENT, Ledger, Op
 from copperpass.core.ports import Call, Outbox, Outcome
 from copperpass.settings import Cluster, SettingsError
 
@@ -106,6 +106,8 @@
         # As a candidate.
         self.campaigning = False
         self.new_lease: int | None = None
+        # Leases of campaigns without an answer, whose transactions may be carried out yet.
+        self.doubtful: set[int] = set()
         self.new_lease_sent = 0.0
         # Members campaign one after the other, so that they seldom meet.
         rank = sorted([member, *others]).index(member)
@@ -145,6 +147,8 @@
                 self._drop(self.lead.lease)
         elif key == TOKEN and raw is not None and version > self.counter_version:
             record = wire.decode(raw, wire.TokenRecord)
+            # Every campaign is guarded by the counter's version: an older one can't win any more.
+            self.doubtful.clear()
             if record:
                 self.counter, self.counter_version = record.token, version
                 self.counter_holder = record.member
@@ -205,8 +209,13 @@
         self.next_campaign = now + self.rng.uniform(0.2, 0.5) * self.ttl
 
     def _drop(self, lease: int) -> None:
+        def then(now: float, outcome: Outcome) -> None:
+            if outcome.status in (200, 404):
+                # A late write of the key is refused from now on.
+                self.doubtful.discard(lease)
+
         self.out.calls.append(
-            Call("state", "DELETE", wire.path_lease(lease), lambda n, o: None, b"", self.ttl)
+            Call("state", "DELETE", wire.path_lease(lease), then, b"", self.ttl)
         )
 
     # -- frames from the others -----------------------------------------------
@@ -228,7 +237,10 @@
     def _may_promise(self, token: int) -> bool:
         # Until the counter is known, a higher token may have been won, by this very node too.
         known = self.known and token >= max(self.highest, self.counter)
-        return known and not self.leading and not self.campaigning
+        # A campaign that may yet be carried out would make this member the winner of the last
+        # token, and one that has won it keeps no promise over a restart.
+        free = not self.leading and not self.campaigning and not self.doubtful
+        return known and free
 
     def _may_campaign(self, now: float) -> bool:
         if now < self.promise_until:
@@ -306,6 +318,11 @@
             self.on_change(now, True, continued)
             return
         # Unknown outcome or too late: end the lease, so that a late write of the key is refused.
+        if how == UNKNOWN:
+            self.doubtful.add(lease)
+        elif how == APPLIED and revision > self.counter_version:
+            self.counter, self.counter_version = token, revision
+            self.counter_holder = self.member
         self._drop(lease)
         self._lost(now, quick=how == CONFLICT)
 
