Count leases by session, and hear only reports as reports

The end of a lease counted from the last answer in an earlier session freed tasks of the next one, which went on: they started twice. And a machine that only answers commands kept getting work that its lease's end then killed. Guards: test_the_end_of_an_old_lease_does_not_free_the_tasks_of_a_new_session, test_answers_to_commands_do_not_pass_for_reports.

--- a/src/copperpass/core/fleet.py
+++ b/src/copperpass/core/fleet.py
@@ -91,6 +91,8 @@
     up: bool = False
     up_at: float = 0.0
     last_report: float = float("-inf")
+    # The same, answers of `/do` included: those a machine gives that reaches no controller itself.
+    last_message: float = float("-inf")
     last_answer: float = float("-inf")
     notice_until: float | None = None
     failed: bool = False
--- a/src/copperpass/core/owner.py
+++ b/src/copperpass/core/owner.py
@@ -321,7 +321,8 @@
         if (report.session, report.seq) <= (machine.session, machine.seq):
             # A late copy: it changes nothing, and its answer carries no orders. What its answer
             # could renew was sent before the newest message that we know of came in.
-            machine.last_answer = max(machine.last_answer, machine.last_report)
+            newest = max(machine.last_report, machine.last_message)
+            machine.last_answer = max(machine.last_answer, newest)
             return wire.ReportAnswer(machine.token, [])
         if handed:
             machine.handed_until = now + 2 * self.report_s
@@ -341,9 +342,16 @@
                 # can show: an earlier commander may have known it already.
                 self._session_over(now, machine)
             machine.session = report.session
+            # Its lease began before this was said. Counted from the last answer in the session
+            # before, the end of that lease would free the tasks of the new one.
+            machine.last_answer = max(machine.last_answer, now)
         machine.seq = report.seq
         machine.address = report.address
-        machine.last_report = now
+        machine.last_message = now
+        if full or not machine.up:
+            # Guards against a machine that can be commanded but can't report: nothing renews its
+            # lease, so all that it is given is lost, and it must count as silent.
+            machine.last_report = now
         if not machine.up:
             machine.up, machine.up_at, machine.idle_since = True, now, now
             self.dirty = True
