Let an ended attempt free its task only if no other attempt runs there

After a change of leader a machine could name both, and the ended one, not yet cleared, freed the task of the one that ran: it was started elsewhere as well. Guard: test_an_ended_attempt_that_was_not_cleared_does_not_free_the_one_that_runs.

--- a/src/copperpass/core/owner.py
+++ b/src/copperpass/core/owner.py
@@ -502,7 +502,8 @@
             p.stored = self.ready
             return
         self.dirty = True
-        mine = job is not None and job.placed.get(p.index) == machine.name
+        mine = job is not None and job.placed.get(p.index) == machine.name and (
+            self._alone(machine, p))
         if job is None:
             p.stored = True
             return
@@ -530,6 +531,16 @@
             # The worker fetches the description itself and may have been told nothing yet.
             job.hold_until = now + self.report_s
 
+    @staticmethod
+    def _alone(machine: Machine, p: Placement) -> bool:
+        """Whether no other attempt of the task runs on the machine.
+
+        Guards the attempt that runs: an ended one that was not cleared yet would free its task.
+        """
+        return not any(
+            q is not p and q.active and q.index == p.index and q.job_id == p.job_id
+            for q in machine.tasks.values())
+
     def _failed(self, now: float, machine: Machine, job: Job) -> None:
         """Tell a sick machine (many jobs fail there) from a job with a mistake."""
         job.failures += 1
@@ -576,7 +587,8 @@
         if p in machine.starts:
             machine.starts.remove(p)
         job = self.jobs.jobs.get(p.job_id)
-        if p.active and job is not None and job.placed.get(p.index) == machine.name:
+        placed = p.active and job is not None and job.placed.get(p.index) == machine.name
+        if placed and job is not None and self._alone(machine, p):
             job.release(p.index)
         self.dirty = True
         self.tally.recount(machine)
