--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -1,10 +1,18 @@
 """Two troubles meet: a short story for each meeting that has been seen to break a rule."""
 
 import json
+import random
 
 import pytest
 
-from tests.world import World, job
+from copperpass import peer, wire
+from copperpass.core.authority import TOKEN, Authority, times_of
+from copperpass.core.directory import Contact
+from copperpass.core.ledger import Ledger
+from copperpass.core.ports import Outbox, Outcome
+from copperpass.settings import parse
+from tests.test_owner import Bench
+from tests.world import User, World, job, raw_settings
 
 
 def running(world):
@@ -27,6 +35,7 @@
     while world.now < end:
         world.run(min(1.0, end - world.now))
         world.leader()
+        world.check_owners()
         world.check_cancelled()
         world.check_sums()
 
@@ -358,12 +367,62 @@
     world.refused.add(old)
     step(world, length * 0.22 * world.lease_s)
     world.refused.clear()
+    for _ in range(60):
+        world.run(0.1)
+        world.check_owners()
     step(world, 3.0 * world.lease_s)
     owners = {o.pool: n for n, node in world.nodes.items() for o in node.owners}
     assert len(set(owners.values())) == 2, "one member has all pools for good"
     world.finish()
 
 
+def test_a_term_that_goes_on_gives_no_pool_while_grants_of_the_one_before_run():
+    # Holds `Landlord.wait_out`.
+    world = started_world([job(1, tasks=4, run_s=20.0)], 4, parted=True)
+    node = world.nodes[world.leader()]
+    tenant = next(t for n, t in node.landlord.tenants.items() if n != world.leader())
+    tenant.granted_until = world.now + 3.0
+    node._authority_changed(world.now, True, True)
+    world.run(2.9)
+    assert not any(p.owner for p in node.landlord.pools.values())
+    world.run(1.0)
+    assert all(p.owner for p in node.landlord.pools.values())
+    world.finish()
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_leader_on_a_bridge_wins_again_while_the_others_cannot_see_it(seed):
+    specs = [job(n, tasks=4, run_s=40.0, team="red" if n % 2 else "blue") for n in range(1, 5)]
+    world = started_world(specs, 12, parted=True, seed=seed)
+    old, life = world.leader(), 0.22 * world.lease_s
+    token = world.nodes[old].authority.token
+    world.refused.add(old)
+    step(world, 1.1 * life)
+    world.refused = set(world.names) - {old}
+    for _ in range(100):
+        world.run(0.05)
+        world.check_owners()
+    again = world.nodes[old].authority
+    assert again.leading and again.token > token, "it was to win again"
+    world.finish()
+
+
+def test_a_question_that_read_a_job_before_its_end_is_asked_again():
+    # Holds `removed` in `UserDesk.lookup`: the view has seen the end, others may have told it.
+    world = World()
+    world.run_until(world.leader)
+    node = world.nodes["n0"]
+    node.out.calls.clear()
+    node.desk.poll(world.now, User(), "req-000001")
+    (read,) = node.out.calls
+    node.out.calls.clear()
+    node.desk.note_removed("req-000001")
+    item = {"path": "c/live/req-000001", "value": {"spec": job(1)}, "stamp": 3}
+    read.then(world.now, Outcome(200, json.dumps(item).encode()))
+    assert not node.out.replies
+    assert [c.path for c in node.out.calls] == ["/kv/d/job/req-000001"]
+
+
 ODD = [
     (400, {"cpus": True}), (400, {"cpus": "4.0"}), (400, {"pages": True}), (400, {"pages": "2"}),
     (400, {"pages": 2.5}), (400, {"pages": -1}), (400, {"pages": 10**20}), (400, {"pages": None}),
@@ -406,3 +465,112 @@
             world.run(0.3)
             assert user.status == 400, field
     world.finish()
+
+
+# Guards, by hand. Each of these was seen to fail with its guard taken out.
+
+
+def said(name, tasks, token, session, seq):
+    return wire.encode(wire.Report(
+        name, "10.0.0.8:1", "box", "a", True, session, seq, token, None,
+        [wire.TaskReport(t, a, s, w) for t, a, s, w in tasks]))
+
+
+def test_the_end_of_an_old_lease_does_not_free_the_tasks_of_a_new_session():
+    # Holds `machine.last_answer` at a change of session in `Owner._take`.
+    bench = Bench()
+    machine = bench.take_over("m-9", contact=Contact("10.0.0.8:1", 3, 0))
+    taken = bench.now
+    bench.now += 11.9
+    bench.owner.tick(bench.now)
+    for status, token, seq in ((409, 1, 7), (200, machine.base, 8)):
+        (probe,) = bench.take("worker")
+        probe.then(bench.now, Outcome(status, said("m-9", [], token, 4, seq)))
+        bench.owner._probe(bench.now)
+    bench.owner.machines["m-1"].hold_until = bench.now + 99.0
+    call, attempt = bench.start()
+    assert call.address == "10.0.0.8:1"
+    tasks = [("req-000001/0", attempt, "running", None)]
+    call.then(bench.now, Outcome(200, said("m-9", tasks, machine.base, 4, 9)))
+    bench.owner._scan(taken + bench.owner.lease_s + 0.1)
+    assert bench.job.placed == {0: "m-9"}
+    bench.owner._scan(bench.now + bench.owner.lease_s + 0.1)
+    assert bench.job.placed == {}
+
+
+def test_answers_to_commands_do_not_pass_for_reports():
+    # Holds `full` in `Owner._take`: a machine that only answers commands loses all it is given.
+    bench = Bench()
+    machine = bench.owner.machines["m-1"]
+    for second in range(1, 4):
+        bench.now += 1.0
+        bench.add(second)
+        bench.owner._take(bench.now, machine, bench.message([], seq=bench.seq + second), False)
+    assert not machine.usable(bench.now, bench.owner.silence)
+    # Yet a copy of what it said before is bounded by the newest message, not the newest report.
+    bench.owner.report(bench.now, bench.message([], seq=1))
+    assert machine.last_answer == bench.now
+
+
+@pytest.mark.parametrize("turn", [1, -1])
+def test_an_ended_attempt_that_was_not_cleared_does_not_free_the_one_that_runs(turn):
+    # Holds `Owner._alone`. A task was stopped, started again where it was, and the leader changed.
+    bench = Bench()
+    bench.add(version=40)
+    bench.report([("req-000001/0", 5, "exited", "halted"),
+                  ("req-000001/0", 6, "running", None)][::turn])
+    assert bench.job.placed == {0: "m-1"}
+    bench.report([("req-000001/0", 6, "running", None)])
+    assert bench.job.placed == {0: "m-1"}
+    bench.report([])
+    assert bench.job.placed == {}
+
+
+def test_ends_that_an_earlier_owner_stored_are_not_written_over():
+    # Holds the loop over `jobs.pages` in `Progress._write`.
+    bench = Bench()
+    bench.add(1, tasks=2)
+    bench.add(2, tasks=2)
+    key = "c/ends/0.0"
+    bench.jobs.saw_ends(key, b'{"req-000001":"AQ=="}')
+    bench.owner.progress.versions[key] = 66
+    bench.jobs.jobs["req-000002"].finished.add(1)
+    bench.owner._scan(bench.now)
+    bench.now += bench.owner.progress.gather_s
+    bench.owner.progress.tick(bench.now)
+    (write,) = bench.take("state")
+    body = json.loads(write.body)
+    assert {"path": key, "stamp": 66} in body["guards"]
+    assert set(body["writes"][0]["value"]) == {"req-000001", "req-000002"}
+
+
+@pytest.mark.parametrize("settles", ["lease ended", "token moved"])
+def test_a_member_whose_campaign_may_yet_be_carried_out_promises_nothing(settles):
+    # Holds `doubtful` in `Authority._may_promise`: the late win would make this member, restarted,
+    # take its promises for its own, while the leader that it gave them to is on a bridge.
+    out = Outbox()
+    ledger = Ledger(out, 60.0, 16, 1.0)
+    times = times_of(parse(raw_settings()).cluster)
+    core = Authority("n0", ["n1", "n2"], times, out, ledger, random.Random(1),
+                     lambda now, leading, continued: None, 0.0)
+    core.known = True
+    core.tick(50.0)
+    (make,) = out.calls
+    out.calls.clear()
+    make.then(50.0, Outcome(200, b'{"permit":7}'))
+    (win,) = out.calls
+    out.calls.clear()
+    win.then(51.0, Outcome(0))
+
+    def promised():
+        out.frames.clear()
+        core.received(51.1, "n1", peer.Ask(0, 3))
+        return out.frames[0][1].granted
+
+    assert not promised()
+    if settles == "lease ended":
+        (drop,) = out.calls
+        drop.then(51.1, Outcome(200))
+    else:
+        core.saw(51.1, TOKEN, b'{"token":0,"member":"n1"}', 9)
+    assert promised()
--- a/tests/world.py
+++ b/tests/world.py
@@ -722,6 +722,12 @@
                 assert owner.tally.ghosts == ghosts
                 assert owner.unsettled <= set(owner.machines)
 
+    def check_owners(self):
+        """No pool has two members that may command its machines."""
+        owned = [(o.pool, n) for n, node in self.nodes.items() for o in node.owners
+                 if node.holder.entitled(self.now)]
+        assert len({pool for pool, _ in owned}) == len(owned), f"two owners: {owned}"
+
     def check_starved(self, bound=90.0):
         """To be called about once a second without troubles: who waits beside room that fits?"""
         on = {}
