--- a/src/copperpass/core/owner.py
+++ b/src/copperpass/core/owner.py
@@ -338,7 +338,8 @@
         if (report.session, report.seq) <= (machine.session, machine.seq):
             # A late copy: it changes nothing, and its answer carries no orders. What its answer
             # could renew was sent before the newest message that we know of came in.
-            machine.last_answer = max(machine.last_answer, machine.last_report)
+            newest = max(machine.last_report, machine.last_message)
+            machine.last_answer = max(machine.last_answer, newest)
             return wire.ReportAnswer(machine.token, [])
         if handed:
             machine.handed_until = now + 2 * self.report_s
@@ -360,9 +361,16 @@
                 # can show: an earlier commander may have known it already.
                 self._session_over(now, machine)
             machine.session = report.session
+            # Its lease began before this was said. Counted from the last answer in the session
+            # before, the end of that lease would free the tasks of the new one.
+            machine.last_answer = max(machine.last_answer, now)
         machine.seq = report.seq
         machine.address = report.address
-        machine.last_report = now
+        machine.last_message = now
+        if full or not machine.up:
+            # Guards against a machine that can be commanded but can't report: nothing renews its
+            # lease, so all that it is given is lost, and it must count as silent.
+            machine.last_report = now
         if not machine.up:
             machine.up, machine.up_at, machine.idle_since = True, now, now
             self.dirty = True
@@ -535,7 +543,8 @@
             p.stored = self._knows_over(p)
             return
         self.dirty = True
-        mine = job is not None and job.placed.get(p.index) == machine.name
+        mine = job is not None and job.placed.get(p.index) == machine.name and (
+            self._alone(machine, p))
         if job is None:
             p.stored = True
             return
@@ -637,6 +646,16 @@
                 return False
         return True
 
+    @staticmethod
+    def _alone(machine: Machine, p: Placement) -> bool:
+        """Whether no other attempt of the task runs on the machine.
+
+        Guards the attempt that runs: an ended one that was not cleared yet would free its task.
+        """
+        return not any(
+            q is not p and q.active and q.index == p.index and q.job_id == p.job_id
+            for q in machine.tasks.values())
+
     def _failed(self, now: float, machine: Machine, job: Job) -> None:
         """Tell a sick machine (many jobs fail there) from a job with a mistake."""
         job.failures += 1
@@ -689,7 +708,8 @@
         if p in machine.starts:
             machine.starts.remove(p)
         job = self.jobs.jobs.get(p.job_id)
-        if p.active and job is not None and job.placed.get(p.index) == machine.name:
+        placed = p.active and job is not None and job.placed.get(p.index) == machine.name
+        if placed and job is not None and self._alone(machine, p):
             job.release(p.index)
             if job.spec.gang:
                 if job.begun and p.attempt == job.attempt and not job.ended():
