--- a/src/copperpass/core/dispatch.py
+++ b/src/copperpass/core/dispatch.py
@@ -353,8 +353,10 @@
             if not left:
                 break
             free = min(slots, most - counts.get(machine.zone, 0)) if spec.spread else slots
-            # A refused start of this attempt is still there: the machine would ignore another.
-            mine = [i for i in left if (spec.id, i, job.attempt) not in machine.tasks][:free]
+            # Ended tasks that aren't cleared yet are still there: the machine would ignore a start
+            # under the same attempt, and refuse one under another.
+            there = {index for name, index, _ in machine.tasks if name == spec.id}
+            mine = [i for i in left if i not in there][:free]
             if not mine:
                 continue
             counts[machine.zone] = counts.get(machine.zone, 0) + len(mine)
--- a/src/copperpass/core/owner.py
+++ b/src/copperpass/core/owner.py
@@ -667,7 +667,10 @@
             job.hold_until = max(job.hold_until, now + min(wait, self.lease_s))
         suspects = [j for j in machine.errors if j in self.jobs.jobs
                     and len(self.jobs.jobs[j].failed_on) <= 2]
-        if len(suspects) >= 2 and not machine.fenced:
+        # A gang that fails here alone, again, while its other machines do well, finds nowhere else
+        # to go: it is the machine. One with a mistake fails on others too.
+        alone = job.spec.gang and job.failures >= 2 and job.failed_on == {machine.name}
+        if (len(suspects) >= 2 or alone) and not machine.fenced:
             machine.fenced = True
             self.out.log("info", "machine fenced", machine=machine.name, jobs=len(suspects))
             for p in machine.tasks.values():
