--- a/src/copperpass/core/jobs.py
+++ b/src/copperpass/core/jobs.py
@@ -31,6 +31,17 @@
     return mask
 
 
+def segment_key(job_id: str, offset: int) -> str:
+    """How a page names a part of a job's mask, which begins at a byte; no job has such an id."""
+    return f"{job_id}:{offset}"
+
+
+def split_segment(entry: str) -> tuple[str, int]:
+    """The job and first byte of an entry of a page; a whole mask begins at 0."""
+    job_id, _, offset = entry.partition(":")
+    return job_id, int(offset) if offset.isdecimal() else 0
+
+
 class Result(Protocol):
     """Whatever holds a task's end that may be cleared once it is stored."""
 
@@ -170,10 +181,16 @@
             self.pages.pop(key, None)
             return
         self.pages[key] = page
-        for job_id, text in page.items():
-            job = self.jobs.get(job_id)
+        for entry, text in page.items():
+            job = self.jobs.get(split_segment(entry)[0])
             if job is not None:
-                job.merge(unpack_done(text, job.spec.tasks))
+                self._merge(job, entry, text)
+
+    def _merge(self, job: Job, entry: str, text: str) -> None:
+        """Take over what an entry of a page says of a job."""
+        offset = split_segment(entry)[1]
+        part = unpack_done(text, max(0, job.spec.tasks - 8 * offset))
+        job.merge(bytes(min(offset, len(job.done))) + part)
 
     def saw(self, now: float, key: str, raw: bytes | None, version: int) -> tuple[Job | None, bool]:
         """Take in a change; returns the job it concerns and whether it is over."""
@@ -193,7 +210,12 @@
                 self.jobs[job_id] = job
                 for page in self.pages.values():
                     if job_id in page:
-                        job.merge(unpack_done(page[job_id], job.spec.tasks))
+                        self._merge(job, job_id, page[job_id])
+                    elif len(page) == 1:
+                        # A segment has a page of its own.
+                        (entry,) = page
+                        if split_segment(entry)[0] == job_id:
+                            self._merge(job, entry, page[entry])
             return job, False
         if version > job.version:
             job.version = version
--- a/src/copperpass/core/landlord.py
+++ b/src/copperpass/core/landlord.py
@@ -25,7 +25,7 @@
 from copperpass.core.jobs import Job, JobTable
 from copperpass.core.ledger import Budget, Ledger
 from copperpass.core.ports import NO_ANSWER, Call, Outbox, Outcome
-from copperpass.core.roster import Roster
+from copperpass.core.roster import FLEET, Roster, Stored, page_number
 from copperpass.settings import Cluster
 from copperpass.tuning import Tuning
 
@@ -111,7 +111,7 @@
         jobs: JobTable,
         types: dict[str, wire.MachineType],
         authority: Authority,
-        fleet: tuple[wire.FleetRecord | None, int],
+        fleet: Stored,
         pools: dict[str, int],
         hints: dict[str, Entry],
         owners: dict[int, str],
@@ -119,6 +119,7 @@
         linked: Callable[[float, str], bool],
         now: float,
         tuning: Tuning,
+        proven: Callable[[], bool] = lambda: False,
     ) -> None:
         self.cluster, self.out, self.ledger, self.jobs = cluster, out, ledger, jobs
         self.types, self.authority, self.tuning = types, authority, tuning
@@ -129,6 +130,7 @@
         self.hints, self.owners = hints, owners
         self.linked = linked
         self.won_at = now
+        self.ready = False
         self.grant_s = GRANT_PER_TTL * authority.ttl
         self.report_s = cluster.workers.report_s
         self.lease_s = certain_lease_s(cluster)
@@ -146,11 +148,12 @@
         self.serial = 0
         # When a pool last changed hands of the leader's own will.
         self.passed_at = now
-        room = cluster.state.value_kb * 1024
+        state = cluster.state
         self.roster = Roster(
-            ledger, self.token_version, room, 4 / cluster.state.write_rps,
-            cluster.workers.lease_s)
-        self.roster.load(*fleet)
+            ledger, self.token_version, state.value_kb * 1024, 4 / state.least_write_rps,
+            cluster.workers.lease_s, state.least_value_bytes, state.least_txn_ops, proven,
+            state.next is not None)
+        self.saw_fleet(fleet)
         self.roster.on_stored = self._marked_up
         self.aims = dispatch.Aims(cluster.objectives, tuning.patience_s)
         self.scarce = dispatch.Scarce(types, tuning.keep_scarce_s)
@@ -167,7 +170,6 @@
         self.allocations: allocation.Allocation | None = None
         self.booking = 0
         self.renting: dict[str, tuple[Place, int, int]] = {}
-        self.ready = False
         self.next_list = self.next_plan = self.next_summary = now
         self.listing = False
 
@@ -192,13 +194,21 @@
             pool = self._neediest()
             self.renting[request] = (place, count, pool)
             self._book(now, place, count, request, 3)
+        self.roster.begin(now)
+
+    def saw_fleet(self, fleet: Stored, key: str = FLEET, version: int = 0) -> None:
+        """The watch brings a change of the fleet's records.
 
-    def saw_fleet(self, record: wire.FleetRecord | None, version: int) -> None:
-        """The watch brings the fleet's record; until we begin, it may be a late write."""
+        Until this term begins it may be a late write of an earlier leader's; afterwards only this
+        leader can have made it.
+        """
+        number = page_number(key)
         if not self.ready:
-            self.roster.load(record, version)
+            self.roster.load(fleet.record, fleet.version, fleet.pages)
+        elif number is None:
+            self.roster.saw(fleet.version)
         else:
-            self.roster.saw(version)
+            self.roster.saw_page(number, version, number in fleet.pages)
 
     def _marked_up(self, now: float, names: set[str]) -> None:
         for name in names:
@@ -481,6 +491,9 @@
             # Only a new term has tokens for more handovers.
             self.authority.step_down(now, "handovers used up")
             return
+        if self.roster.stuck():
+            self.authority.step_down(now, "a write of the fleet's record is in doubt")
+            return
         for pool in self.pools.values():
             tenant = self.tenants.get(pool.owner)
             if pool.owner and pool.owner != self.member and (
--- a/src/copperpass/core/ledger.py
+++ b/src/copperpass/core/ledger.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from copperpass import wire
-from copperpass.core.ports import Call, Outbox, Outcome
+from copperpass.core.ports import NO_ANSWER, NOT_SENT, Call, Outbox, Outcome
 
 APPLIED, CONFLICT, UNAVAILABLE, UNKNOWN, INVALID = (
     "applied", "conflict", "unavailable", "unknown", "invalid"
@@ -16,6 +16,15 @@
 OpThen = Callable[[float, str, int], None]
 
 
+@dataclass(slots=True)
+class Split:
+    """A batch that was refused as a whole; its operations go one by one to learn why."""
+
+    left: int
+    writes: int
+    bad: bool = False
+
+
 @dataclass(slots=True)
 class Op:
     """One all-or-nothing group of writes and the versions that it depends on."""
@@ -26,6 +35,8 @@
     deadline: float
     rank: int = 1
     size: int = 0
+    # The refused batch that it was part of: it now goes by itself.
+    split: Split | None = None
 
 
 # Users and the election come first; then what frees room or ends jobs; then what can be gathered.
@@ -34,16 +45,45 @@
 RESERVE = (0.0, 0.2, 0.45)
 
 
+# After a refusal for the rate: the part of the pace that is kept, the least part of the configured
+# pace, and the time in which all of that would be regained.
+SLOWER, SLOWEST, RECOVERY_S = 0.7, 0.05, 60.0
+# The pause after a refusal for the rate; it doubles up to the second with each further one.
+PAUSE_S, LONGEST_PAUSE_S = 0.1, 1.6
+# The smallest limit of operations that the settings may name.
+LEAST_OPS = 4
+# Refused whatever the limits: a key was to hang on a lease that is over.
+NO_LEASE = b"no such lease"
+
+
 class Budget:
     """A token bucket over the steady clock."""
 
     def __init__(self, rate: float, burst: float) -> None:
         self.rate, self.burst, self.level, self.at = rate, burst, burst, 0.0
+        self.full_rate, self.full_burst = rate, burst
+
+    def refused(self, now: float) -> None:
+        """The service allows less than was thought: go slower, and start from nothing."""
+        self._pass(now)
+        self._pace(max(SLOWEST * self.full_rate, SLOWER * self.rate))
+        self.level = min(self.level, 0.0)
+
+    def _pace(self, rate: float) -> None:
+        self.rate = rate
+        self.burst = self.full_burst * rate / self.full_rate
+
+    def _pass(self, now: float) -> None:
+        passed = max(0.0, now - self.at)
+        self.at = max(self.at, now)
+        self.level = min(self.burst, self.level + passed * self.rate)
+        if self.rate < self.full_rate:
+            faster = self.rate + passed * self.full_rate / RECOVERY_S
+            self._pace(min(self.full_rate, faster))
 
     def take(self, now: float, amount: float, leave: float = 0.0) -> bool:
         """Take an amount if it is there and `leave` of the burst stays."""
-        self.level = min(self.burst, self.level + max(0.0, now - self.at) * self.rate)
-        self.at = now
+        self._pass(now)
         if self.level + 1e-9 < min(amount + leave * self.burst, self.burst):
             return False
         self.level -= amount
@@ -63,6 +103,7 @@
         self.txn_ops = txn_ops
         self.timeout = timeout
         self.paused_until = 0.0
+        self.pause = PAUSE_S
 
     def submit(self, now: float, op: Op) -> None:
         """Queue an operation; its `then` is always called once."""
@@ -75,7 +116,7 @@
         for queue in self.queues:
             while queue and queue[0].deadline < now:
                 # Guards the user's own deadline: what can't be stored in time is said at once.
-                queue.popleft().then(now, UNAVAILABLE, 0)
+                self._end(now, queue.popleft(), UNAVAILABLE)
         while self.in_flight < self.IN_FLIGHT and now >= self.paused_until:
             batch = self._batch(now)
             if not batch:
@@ -91,6 +132,8 @@
         for queue in self.queues:
             while queue:
                 op = queue[0]
+                if batch and (op.split is not None or batch[0].split is not None):
+                    return batch
                 targets = {str(w.get("put") or w.get("remove")) for w in op.writes}
                 fits = (
                     writes + len(op.writes) <= self.txn_ops
@@ -132,31 +175,57 @@
 
     def _done(self, now: float, batch: list[Op], outcome: Outcome) -> None:
         self.in_flight -= 1
-        if outcome.status == 200:
+        status = outcome.status
+        if status == 200:
             applied = wire.decode(outcome.body, wire.Applied)
+            self.pause = PAUSE_S
             for op in batch:
-                op.then(now, APPLIED, applied.revision if applied else 0)
-        elif outcome.status == 409:
+                self._end(now, op, APPLIED, applied.revision if applied else 0)
+        elif status == 409:
             refused = wire.decode(outcome.body, wire.Refused)
             failed = set(refused.failed) if refused else set()
             again = [op for op in batch if failed and not failed & set(op.guards)]
             for op in batch:
                 if op not in again:
-                    op.then(now, CONFLICT, 0)
+                    self._end(now, op, CONFLICT)
             self._again(again)
-        elif outcome.status == 429:
-            self.paused_until = now + 0.1
+        elif status == 429:
+            self._too_fast(now)
             self._again(batch)
-        elif outcome.status == 503:
+        elif status in (503, NOT_SENT):
             for op in batch:
-                op.then(now, UNAVAILABLE, 0)
-        elif outcome.status == 0:
+                self._end(now, op, UNAVAILABLE)
+        elif status == NO_ANSWER or status >= 500:
             for op in batch:
-                op.then(now, UNKNOWN, 0)
+                self._end(now, op, UNKNOWN)
         elif len(batch) > 1:
-            # A bad operation must not take its neighbours down: send each by itself.
+            # A bad operation must not take its neighbours down, and the limits may have dropped:
+            # each goes by itself, in its turn and out of the budget like any other.
+            writes = sum(len(op.writes) for op in batch)
+            split = Split(len(batch), writes, NO_LEASE in outcome.body)
             for op in batch:
-                self._send([op])
+                op.split = split
+            self._again(batch)
         else:
-            batch[0].then(now, INVALID, 0)
+            self._end(now, batch[0], INVALID)
         self.pump(now)
+
+    def _end(self, now: float, op: Op, how: str, revision: int = 0) -> None:
+        """An operation is over; with the last of a refused batch it shows what was wrong."""
+        split, op.split = op.split, None
+        if split is not None:
+            split.left -= 1
+            split.bad |= how not in (APPLIED, CONFLICT)
+            if not split.left and not split.bad:
+                # Nothing was wrong with any of them, so there were too many.
+                learnt = max(LEAST_OPS, split.writes // 2)
+                self.txn_ops = min(self.txn_ops, learnt)
+        op.then(now, how, revision)
+
+    def _too_fast(self, now: float) -> None:
+        if now < self.paused_until:
+            # Sent before the last refusal came: it says nothing new.
+            return
+        self.budget.refused(now)
+        self.paused_until = now + self.pause
+        self.pause = min(2 * self.pause, LONGEST_PAUSE_S)
--- a/src/copperpass/core/node.py
+++ b/src/copperpass/core/node.py
@@ -16,8 +16,9 @@
 from copperpass.core.ports import Call, Outbox, Outcome, Reply
 from copperpass.core.relay import Relay
 from copperpass.core.rental import longest_boot
-from copperpass.core.roster import FLEET
+from copperpass.core.roster import Stored
 from copperpass.core.users import UserDesk
+from copperpass.core.versions import Versions
 from copperpass.core.view import View
 from copperpass.settings import Cluster, Settings
 from copperpass.tuning import Tuning
@@ -51,16 +52,21 @@
         self.times = times_of(cluster)
         self.ttl = self.times.ttl
         timeout = self.ttl / 3
-        self.ledger = Ledger(self.out, cluster.state.write_rps, cluster.state.txn_ops, timeout)
+        state = cluster.state
+        self.ledger = Ledger(self.out, state.least_write_rps, state.least_txn_ops, timeout)
         self.desk = UserDesk(cluster, self.out, self.ledger, 1.6, day)
         self.desk.counts = self.counts_of
         self.jobs = JobTable(day=day)
-        self.fleet: tuple[wire.FleetRecord | None, int] = (None, 0)
+        self.fleet = Stored()
+        # Of the records of ends.
         self.versions: dict[str, int] = {}
         self.authority = Authority(
             settings.name, [m.name for m in settings.members], self.times, self.out,
             self.ledger, self.rng, self._authority_changed, now,
         )
+        self.members = Versions(
+            settings.name, [m.name for m in settings.members], self.out, self.ledger, self.ttl,
+            timeout)
         self.relay = Relay(self.out, cluster.workers.lease_s, cluster.workers.report_s)
         self.view = View(self.out, self._saw, self.ttl / 2, timeout)
         self.now = now
@@ -80,6 +86,8 @@
         self.next_types = 0.0
         self.fetching_types = False
         self.stored_types = b""
+        # An offer that no value can hold: nodes take theirs from the cloud then.
+        self.types_too_large = False
 
     # -- inputs ------------------------------------------------------------------------
 
@@ -92,7 +100,9 @@
             self.authority.known = True
         self.authority.tick(now)
         self.ledger.pump(now)
-        if self.landlord is not None and not self.stored_types and self.types:
+        self.members.tick(now, self.landlord is not None)
+        wanted = not self.stored_types and not self.types_too_large
+        if self.landlord is not None and wanted and self.types:
             # Refetch at once so that the first leader stores the offer.
             self.next_types = min(self.next_types, now + self.ttl)
         if not self.fetching_types and now >= self.next_types:
@@ -244,6 +254,14 @@
         latest = max(self.peer_state.values(), default=float("-inf"))
         return latest - self.last_state > self.ttl
 
+    def proven(self, member: str) -> bool:
+        """Whether a member is certainly of this version or a later one.
+
+        A frame or field that older versions don't know goes to no other member: an older one
+        closes the link on a frame that it can't read.
+        """
+        return self.members.proven(member)
+
     def counts_of(self, job_id: str) -> tuple[int, int]:
         """How many tasks of a job are done and run, as far as this node knows; for display."""
         job = self.jobs.jobs.get(job_id)
@@ -275,10 +293,8 @@
         elif key.startswith(ENDS):
             self.jobs.saw_ends(key, raw)
             self.versions[key] = version if raw is not None else 0
-        elif key == FLEET:
-            self.fleet = (wire.decode(raw, wire.FleetRecord) if raw is not None else None, version)
-            if self.landlord is not None:
-                self.landlord.saw_fleet(*self.fleet)
+        elif self.fleet.saw(key, raw, version) and self.landlord is not None:
+            self.landlord.saw_fleet(self.fleet, key, version)
 
     def _authority_changed(self, now: float, leading: bool, continued: bool) -> None:
         if leading and continued and self.landlord is not None:
@@ -293,7 +309,8 @@
         owned = {**holder.owned_before, **{n: s.member for n, s in holder.shares.items()}}
         self.landlord = Landlord(
             self.cluster, self.out, self.ledger, self.jobs, self.types, self.authority, self.fleet,
-            self.pools, hints, owned, holder.incarnation, self._linked, now, self.tuning)
+            self.pools, hints, owned, holder.incarnation, self._linked, now, self.tuning,
+            self.members.all_proven)
         holder.lead(self.landlord)
 
     def _make_owner(self, share: peer.Share) -> Owner:
@@ -369,6 +386,9 @@
     def _store_types(self, now: float, offer: wire.MachineTypes) -> None:
         if self.landlord is None or len(self.stored_types) > 0:
             return
+        self.types_too_large = len(wire.encode(offer)) > self.cluster.state.least_value_bytes
+        if self.types_too_large:
+            return
         self.ledger.submit(
             now,
             Op({TOKEN: self.authority.win_revision}, [wire.put(TYPES, msgspec.to_builtins(offer))],
--- a/src/copperpass/core/owner.py
+++ b/src/copperpass/core/owner.py
@@ -142,10 +142,11 @@
         self.next_scan = now
         self.next_round = now
         self.by_team = {t.name: t for t in self.teams}
-        room = cluster.state.value_kb * 1024
+        state = cluster.state
         self.progress = Progress(
-            jobs, ledger, token_version, versions, pool, 0.8 * room,
-            max(self.report_s / 2, 4 / cluster.state.write_rps), cluster.workers.lease_s)
+            jobs, ledger, token_version, versions, pool, 0.8 * state.least_value_bytes,
+            max(self.report_s / 2, 4 / state.least_write_rps), cluster.workers.lease_s,
+            0.8 * state.value_kb * 1024)
         self.gpus_matter = cluster.gpus_matter
         for job in jobs.jobs.values():
             if job.spec.team in self.by_team:
--- a/src/copperpass/core/progress.py
+++ b/src/copperpass/core/progress.py
@@ -3,16 +3,29 @@
 A record a job would cost a write for each few ends, and the budget of writes is the tightest limit
 of a large deployment. Ends wait on their machines until they are stored, so they can be gathered:
 a record holds the done tasks of many jobs and is written at most once per `gather_s`.
+
+Where values may be smaller than those that older versions have stored:
+
+- Jobs of a page that has become too large move to other pages. Ends are facts, which only add up,
+  so a job is first stored on its new page, and only then is the old one written without it. Until
+  then the new page says of it what the old one says, so it doesn't matter which of them counts.
+- A job that is too large for a page has one of its own, as older versions would store it, until
+  the state service refuses that for its size. Then the limits have dropped, which they do only
+  after an upgrade, and the job is cut into segments with a page each, which older versions ignore.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import itertools
+from collections.abc import Callable, Iterable
 
 from copperpass import wire
 from copperpass.core.authority import TOKEN
-from copperpass.core.jobs import ENDS, Job, JobTable, pack_done
-from copperpass.core.ledger import APPLIED, GATHERED, Ledger, Op
+from copperpass.core.jobs import ENDS, Job, JobTable, pack_done, segment_key, split_segment
+from copperpass.core.ledger import APPLIED, GATHERED, INVALID, Ledger, Op
+
+# What marks the key of a page that holds a segment.
+SEGMENT = "s"
 
 
 def _size(job: Job) -> int:
@@ -30,6 +43,15 @@
         self.version = 0
         self.since: float | None = None
         self.writing = False
+        # Jobs that are stored here but belong to other pages by now, and which of those are not
+        # stored yet: until they are, this page is not written.
+        self.leaving: dict[str, set[str]] = {}
+        # Where such jobs have gone, until this page is written without them.
+        self.gone: dict[str, list[Page]] = {}
+        # Jobs that are on their way here: only what is stored elsewhere may be said of them.
+        self.coming: set[str] = set()
+        # The part of the mask, if it holds a segment.
+        self.part: slice | None = None
 
 
 class Progress:
@@ -38,21 +60,84 @@
     def __init__(
         self, jobs: JobTable, ledger: Ledger, token_version: Callable[[], int],
         versions: dict[str, int], pool: int, room: float, gather_s: float, deadline_s: float,
+        most_room: float | None = None,
     ) -> None:
         self.jobs, self.ledger, self.token_version = jobs, ledger, token_version
         self.room, self.gather_s, self.deadline_s = room, gather_s, deadline_s
+        # What a page may hold at most until the service says otherwise.
+        self.most_room = room if most_room is None else max(room, most_room)
         self.pages: dict[str, Page] = {}
         self.page_of: dict[str, Page] = {}
+        # Pages of segments, by job; those that were found, by job and offset; those whose job is
+        # over.
+        self.segments: dict[str, list[Page]] = {}
+        self.found: dict[str, dict[int, str]] = {}
+        self.free: list[str] = []
         # Versions as the watch saw them; shared with the node, which keeps them up.
         self.versions = versions
         self.prefix = f"{ENDS}{pool}."
-        for key, held in sorted(jobs.pages.items()):
+        self._load()
+
+    def _load(self) -> None:
+        """Take over the pages that are stored, and break up those that are too large."""
+        twice: list[tuple[str, Page]] = []
+        for key, held in sorted(self.jobs.pages.items()):
             if not key.startswith(self.prefix):
                 continue
+            if key.startswith(self.prefix + SEGMENT):
+                self._load_segment(key, held)
+                continue
             for job_id in held:
-                job = jobs.jobs.get(job_id)
-                if job is not None and job_id not in self.page_of:
-                    self._put(job, self._page(key))
+                job = self.jobs.jobs.get(job_id)
+                if job is None:
+                    continue
+                page = self._page(key)
+                if job_id in self.page_of:
+                    twice.append((job_id, page))
+                else:
+                    self._put(job, page)
+        for job_id, page in twice:
+            # A move was interrupted: what only this page says goes to the other before it is
+            # written without.
+            self._leave(job_id, page, [self.page_of[job_id]])
+        for page in list(self.pages.values()):
+            self._relieve(page)
+
+    def _load_segment(self, key: str, held: Iterable[str]) -> None:
+        # Taken up when there is something to write: a cut may have been interrupted.
+        for entry in held:
+            job_id, offset = split_segment(entry)
+            if job_id in self.jobs.jobs:
+                self.found.setdefault(job_id, {})[offset] = key
+                return
+        self.free.append(key)
+
+    def _relieve(self, page: Page) -> None:
+        """Move jobs away until the page has a size that will always be allowed."""
+        for job_id, job in list(page.jobs.items()):
+            if page.size <= self.room or len(page.jobs) == 1:
+                return
+            self._take_off(job, page)
+            target = self._choose(job)
+            self._put(job, target)
+            self._leave(job_id, page, [target])
+
+    def _take_off(self, job: Job, page: Page) -> None:
+        del page.jobs[job.spec.id]
+        del self.page_of[job.spec.id]
+        page.size -= _size(job)
+
+    def _leave(self, job_id: str, page: Page, targets: list[Page]) -> None:
+        """A page's job belongs to others from here on, and so does what was on its way here."""
+        page.coming.discard(job_id)
+        for other in [page, *self.pages.values()]:
+            if other is page or page in other.gone.get(job_id, ()):
+                other.leaving[job_id] = {target.key for target in targets}
+                other.gone[job_id] = targets
+                other.since = 0.0
+        for target in targets:
+            target.coming.add(job_id)
+            target.since = 0.0
 
     def _page(self, key: str) -> Page:
         page = self.pages.get(key)
@@ -60,6 +145,16 @@
             page = self.pages[key] = Page(key)
         return page
 
+    def _choose(self, job: Job) -> Page:
+        """A page with room for a job, or a new one."""
+        for page in self.pages.values():
+            if page.size + _size(job) <= self.room and not page.leaving:
+                return page
+        number = 0
+        while f"{self.prefix}{number}" in self.pages:
+            number += 1
+        return self._page(f"{self.prefix}{number}")
+
     def _put(self, job: Job, page: Page) -> None:
         page.jobs[job.spec.id] = job
         page.size += _size(job)
@@ -67,37 +162,111 @@
 
     def note(self, now: float, job: Job) -> None:
         """A job has ends that are not stored."""
-        page = self.page_of.get(job.spec.id)
-        if page is None:
-            if _size(job) + 2 > self.room:
-                # Too large for any record: its results stay on the machines until the last.
-                return
-            page = next(
-                (p for p in self.pages.values() if p.size + _size(job) <= self.room), None
-            ) or self._page(f"{self.prefix}{len(self.pages)}")
-            self._put(job, page)
-        if page.since is None:
+        job_id = job.spec.id
+        page = self.page_of.get(job_id)
+        if page is None and job_id not in self.segments:
+            if job_id in self.found or _size(job) + 2 > self.most_room:
+                self._cut(job)
+            else:
+                page = self._choose(job)
+                self._put(job, page)
+        if page is not None and page.since is None:
             page.since = now
+        changed = {index >> 3 for index in job.finished}
+        for segment in self.segments.get(job_id, ()):
+            part = segment.part or slice(0, 0)
+            if segment.since is None and any(part.start <= byte < part.stop for byte in changed):
+                segment.since = now
 
     def over(self, job: Job) -> None:
         """A job is over: its ends need no record any more."""
-        page = self.page_of.pop(job.spec.id, None)
+        job_id = job.spec.id
+        page = self.page_of.pop(job_id, None)
         if page is not None:
-            page.jobs.pop(job.spec.id, None)
+            page.jobs.pop(job_id, None)
             page.size -= _size(job)
+            page.coming.discard(job_id)
+        for other in self.pages.values():
+            other.leaving.pop(job_id, None)
+            other.gone.pop(job_id, None)
+        self.free.extend(p.key for p in self.segments.pop(job_id, ()))
 
     def tick(self, now: float) -> None:
         """Write what has waited for long enough."""
-        for page in self.pages.values():
+        segments = (page for pages in self.segments.values() for page in pages)
+        for page in [*self.pages.values(), *segments]:
             due = page.since is not None and now >= page.since + self.gather_s
-            if due and not page.writing:
+            if due and not page.writing and not page.leaving:
                 self._write(now, page)
 
+    # -- segments ------------------------------------------------------------------------
+
+    def _segment_bytes(self) -> int:
+        """How much of a mask goes into one page."""
+        return max(3, int((self.room - 64) / 4) * 3)
+
+    def _cut(self, job: Job) -> None:
+        """Give a job that no page can hold a page for each part of its mask."""
+        job_id, step = job.spec.id, self._segment_bytes()
+        # A page that holds another cut's part of this job is left alone: its facts count.
+        found = self.found.get(job_id, {})
+        taken = {key for held in self.found.values() for key in held.values()}
+        taken |= {p.key for held in self.segments.values() for p in held} | set(self.free)
+        fresh = (key for n in itertools.count()
+                 if (key := f"{self.prefix}{SEGMENT}{n}") not in taken)
+        pages = self.segments[job_id] = []
+        for offset in range(0, len(job.done), step):
+            key = found.get(offset) or (self.free.pop() if self.free else next(fresh))
+            page = Page(key)
+            page.jobs[job_id] = job
+            page.part = slice(offset, offset + step)
+            if any(job.done[page.part]):
+                page.since = 0.0
+            pages.append(page)
+
+    def _resize(self, page: Page) -> None:
+        """A page was refused for its size."""
+        self.most_room = self.room
+        self._relieve(page)
+        for job_id, job in list(page.jobs.items()):
+            if page.part is None and page.size > self.room:
+                # Segments first; the page goes without the job once they are all stored.
+                self._take_off(job, page)
+                self._cut(job)
+                self._leave(job_id, page, self.segments[job_id])
+
+    # -- writing ---------------------------------------------------------------------------
+
+    def _mask(self, page: Page, job: Job) -> bytearray:
+        """What a page says of a job."""
+        mask = bytearray(job.done) if job.spec.id in page.coming else job.mask()
+        return mask if page.part is None else mask[page.part]
+
+    def _value(self, page: Page) -> dict[str, str]:
+        if page.part is not None:
+            return {
+                segment_key(job_id, page.part.start): pack_done(self._mask(page, job))
+                for job_id, job in page.jobs.items()
+            }
+        return {job_id: pack_done(self._mask(page, job)) for job_id, job in page.jobs.items()
+                if job.done_count or job.finished}
+
+    def _noted(self, page: Page) -> dict[str, tuple[Job, set[int]]]:
+        """The ends that a write of a page makes certain."""
+        noted: dict[str, tuple[Job, set[int]]] = {}
+        for job_id, job in page.jobs.items():
+            if job_id in page.coming:
+                continue
+            ends = set(job.finished)
+            if page.part is not None:
+                ends = {i for i in ends if page.part.start <= i >> 3 < page.part.stop}
+            noted[job_id] = (job, ends)
+        return noted
+
     def _write(self, now: float, page: Page) -> None:
         page.writing, page.since = True, None
-        noted = {job_id: (job, set(job.finished)) for job_id, job in page.jobs.items()}
-        value = {job_id: pack_done(job.mask()) for job_id, (job, _) in noted.items()
-                 if job.done_count or job.finished}
+        noted = self._noted(page)
+        jobs, gone = set(page.jobs), dict(page.gone)
         version = max(page.version, self.versions.get(page.key, 0))
 
         def then(n: float, how: str, revision: int) -> None:
@@ -107,11 +276,33 @@
                 for job_id, (job, ends) in noted.items():
                     if self.jobs.jobs.get(job_id) is job:
                         job.stored(ends)
-            elif page.since is None:
+                self._arrived(page, jobs)
+                self._left(n, page, gone)
+                return
+            if how == INVALID:
+                self._resize(page)
+            if page.since is None:
                 # Not stored, or not known to be: the watch brings the record's version.
                 page.since = n
 
         self.ledger.submit(now, Op(
-            {TOKEN: self.token_version(), page.key: version}, [wire.put(page.key, value)], then,
-            now + self.deadline_s, GATHERED,
+            {TOKEN: self.token_version(), page.key: version},
+            [wire.put(page.key, self._value(page))], then, now + self.deadline_s, GATHERED,
         ))
+
+    def _arrived(self, page: Page, jobs: set[str]) -> None:
+        """A page with these jobs is stored: where they were before may be written without them."""
+        for other in self.pages.values():
+            for job_id in jobs & set(other.leaving):
+                other.leaving[job_id].discard(page.key)
+                if not other.leaving[job_id]:
+                    del other.leaving[job_id]
+
+    def _left(self, now: float, page: Page, gone: dict[str, list[Page]]) -> None:
+        """A page is stored without these jobs: their new pages may say all that is known."""
+        for job_id, targets in gone.items():
+            page.gone.pop(job_id, None)
+            for target in targets:
+                if not any(target in p.gone.get(job_id, ()) for p in self.pages.values()):
+                    target.coming.discard(job_id)
+                    target.since = target.since or now
--- a/src/copperpass/core/users.py
+++ b/src/copperpass/core/users.py
@@ -11,7 +11,7 @@
 from copperpass import wire
 from copperpass.core.fleet import type_fits
 from copperpass.core.jobs import LIVE, OVER, fits
-from copperpass.core.ledger import APPLIED, CONFLICT, URGENT, Ledger, Op
+from copperpass.core.ledger import APPLIED, CONFLICT, INVALID, URGENT, Ledger, Op
 from copperpass.core.ports import Call, Outbox, Outcome, Reply
 from copperpass.settings import Cluster
 
@@ -112,10 +112,27 @@
             self._refuse(now, request, spec.id, verdict)
             return
         record = {"spec": msgspec.to_builtins(spec), "at": round(now + self.day, 1)}
+        room = self.cluster.state.least_value_bytes
+        if len(wire.encode(record)) > room and spec.types is not None:
+            # Types named twice, or that don't exist, say nothing.
+            spec.types = [t for t in dict.fromkeys(spec.types) if t in self.types]
+            record["spec"] = msgspec.to_builtins(spec)
+        size = len(wire.encode(record))
+        if size > room:
+            self._refuse(now, request, spec.id, Verdict(422, "can never be stored: too large"))
+            return
+
+        def stored(n: float, how: str, revision: int) -> None:
+            if how == INVALID and size > 0.8 * room:
+                # The service counts a value's bytes in a longer notation than ours.
+                self._refuse(n, request, spec.id, Verdict(422, "can never be stored: too large"))
+            else:
+                self._submitted(n, how, request, spec.id)
+
         op = Op(
             {LIVE + spec.id: 0, OVER + spec.id: 0},
             [wire.put(LIVE + spec.id, record)],
-            lambda n, how, rev: self._submitted(n, how, request, spec.id),
+            stored,
             now + self.read_timeout,
             URGENT,
         )
--- /dev/null
+++ b/src/copperpass/core/versions.py
@@ -0,0 +1,86 @@
+"""Which version the members run: proof that outlives them, kept in the state service.
+
+A process of this version writes its member's key once at its start. Older versions neither write
+nor watch such keys. A member is proven new once its key has been read and says so; absent, doubtful
+or unreadable means old. A member's process that has come back with the new version never comes back
+old, so what is proven stays so.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from copperpass import __version__, wire
+from copperpass.core.ledger import APPLIED, GATHERED, Ledger, Op
+from copperpass.core.ports import Call, Outbox, Outcome
+
+# Outside the prefix that all versions list and watch.
+VERSIONS = "v/"
+FORMAT = 1
+
+
+class Versions:
+    """Writes the own key, and reads the others' while it matters."""
+
+    def __init__(
+        self, member: str, others: list[str], out: Outbox, ledger: Ledger, gap_s: float,
+        timeout: float,
+    ) -> None:
+        self.member, self.members = member, [member, *others]
+        self.out, self.ledger, self.gap_s, self.timeout = out, ledger, gap_s, timeout
+        self.known: set[str] = set()
+        self.busy: set[str] = set()
+        self.next_try = 0.0
+
+    def proven(self, member: str) -> bool:
+        """Whether a member's process is certainly of this version or a later one."""
+        return member in self.known
+
+    def all_proven(self) -> bool:
+        """Whether every member is."""
+        return len(self.known) == len(self.members)
+
+    def tick(self, now: float, leading: bool) -> None:
+        """Store the own key; while leading, read those of the others that are not proven."""
+        if now < self.next_try or self.all_proven():
+            return
+        wanted = self.members if leading else [self.member]
+        self.next_try = now + self.gap_s
+        for member in wanted:
+            if member not in self.known and member not in self.busy:
+                self._read(member)
+
+    def _read(self, member: str) -> None:
+        self.busy.add(member)
+
+        def then(now: float, outcome: Outcome) -> None:
+            self.busy.discard(member)
+            item = wire.decode(outcome.body, wire.Item) if outcome.status == 200 else None
+            record = wire.decode(bytes(item.value), wire.VersionRecord) if item else None
+            if member != self.member:
+                if record is not None and record.format >= FORMAT:
+                    self.known.add(member)
+            elif record is not None and (record.version, record.format) == (__version__, FORMAT):
+                self.known.add(member)
+            elif item is not None or outcome.status == 404:
+                self._write(now, item.version if item is not None else 0)
+
+        self.out.calls.append(
+            Call("state", "GET", wire.path_key(VERSIONS + member), then, b"", self.timeout))
+
+    def _write(self, now: float, version: int) -> None:
+        key, member = VERSIONS + self.member, self.member
+        self.busy.add(member)
+
+        def then(n: float, how: str, revision: int) -> None:
+            # Anything but applied is read again: it may have been, or another run was first.
+            self.busy.discard(member)
+            if how == APPLIED:
+                self.known.add(member)
+
+        value = {"version": __version__, "format": FORMAT}
+        self.ledger.submit(now, Op(
+            {key: version}, [wire.put(key, value)], then, now + self.gap_s, GATHERED))
+
+
+Proven = Callable[[], bool]
--- a/src/copperpass/settings.py
+++ b/src/copperpass/settings.py
@@ -59,13 +59,38 @@
     cancel_s: float
 
 
+class NextState(msgspec.Struct):
+    """Limits that the state service will have from some moment after an upgrade."""
+
+    write_rps: float
+    value_kb: float
+    txn_ops: int
+
+
 class State(msgspec.Struct):
-    """Limits of the state service."""
+    """Limits of the state service: those of now and, where they are to change, the next."""
 
     rps: float
     write_rps: float
     value_kb: float
     txn_ops: int
+    next: NextState | None = None
+
+    @property
+    def least_write_rps(self) -> float:
+        """Changes a second that are allowed now and after the limits have dropped."""
+        return min(self.write_rps, self.next.write_rps) if self.next else self.write_rps
+
+    @property
+    def least_value_bytes(self) -> float:
+        """The size of a value that is allowed now and after the limits have dropped."""
+        least = min(self.value_kb, self.next.value_kb) if self.next else self.value_kb
+        return least * 1024
+
+    @property
+    def least_txn_ops(self) -> int:
+        """Changes a transaction that are allowed now and after the limits have dropped."""
+        return min(self.txn_ops, self.next.txn_ops) if self.next else self.txn_ops
 
 
 class Cloud(msgspec.Struct):
@@ -148,11 +173,17 @@
         "settings.state.value_kb": cluster.state.value_kb,
         "settings.cloud.rps": cluster.cloud.rps,
     }
+    coming = cluster.state.next
+    if coming is not None:
+        positive["settings.state.next.write_rps"] = coming.write_rps
+        positive["settings.state.next.value_kb"] = coming.value_kb
     for field, number in positive.items():
         if not number > 0:
             raise SettingsError(f"{field}: must be above 0, got {number}")
     if cluster.state.txn_ops < 4:
         raise SettingsError("settings.state.txn_ops: must be at least 4")
+    if coming is not None and coming.txn_ops < 4:
+        raise SettingsError("settings.state.next.txn_ops: must be at least 4")
     if not cluster.teams:
         raise SettingsError("settings.teams: at least one team is needed")
     if len({team.name for team in cluster.teams}) != len(cluster.teams):
--- a/src/copperpass/wire.py
+++ b/src/copperpass/wire.py
@@ -313,6 +313,16 @@
     places: list[PlaceRecord]
 
 
+class VersionRecord(msgspec.Struct):
+    """What a member's newest process says of itself; versions without it never write one.
+
+    `format`: the highest form of records and frames that it reads.
+    """
+
+    version: str
+    format: int
+
+
 encode = msgspec.json.encode
 
 
