--- a/tests/world.py
+++ b/tests/world.py
@@ -11,8 +11,8 @@
 import json
 import random
 
+from copperpass import peer, wire
 from copperpass import settings as settings_module
-from copperpass import wire
 from copperpass.core.fleet import GHOST
 from copperpass.core.node import Node
 from copperpass.core.ports import Outcome
@@ -24,7 +24,11 @@
 }
 
 
-def raw_settings(index=0, nodes=3, lease_s=12.0, cancel_s=40.0, cores=1.0):
+# Limits of the state service: changes a second, KiB a value, changes a transaction.
+LIMITS = {"write_rps": 60.0, "value_kb": 32.0, "txn_ops": 16}
+
+
+def raw_settings(index=0, nodes=3, lease_s=12.0, cancel_s=40.0, cores=1.0, coming=None):
     names = [f"n{i}" for i in range(nodes)]
     zones = ["a", "b", "c"]
     return {
@@ -48,7 +52,7 @@
                 {"kind": "guarantee", "within_s": 5.0, "share": 0.9},
             ],
             "workers": {"report_s": 1.0, "lease_s": lease_s, "cancel_s": cancel_s},
-            "state": {"rps": 200.0, "write_rps": 60.0, "value_kb": 32.0, "txn_ops": 16},
+            "state": {"rps": 200.0, **LIMITS, **({"next": coming} if coming else {})},
             "cloud": {"rps": 8.0, "list_lag_s": 3.0},
             "resources": {"cores": cores},
         },
@@ -76,6 +80,32 @@
         self.leases, self.lease_ids = {}, itertools.count(1)
         self.down = False
         self.watches = []
+        self.limits, self.level, self.filled = dict(LIMITS), LIMITS["write_rps"], 0.0
+        self.writes, self.too_large, self.too_fast, self.largest = 0, 0, 0, 0
+
+    def drop(self, **limits):
+        """From now on, without notice."""
+        self.limits.update(limits)
+
+    def refuses(self, txn):
+        """Why a transaction is beyond the limits: a status, or None."""
+        writes, limits = txn["writes"], self.limits
+        sizes = [len(json.dumps(w["value"])) for w in writes if "put" in w]
+        self.largest = max([self.largest, *sizes])
+        if len(writes) > limits["txn_ops"] or len(txn["guards"]) > 4 * limits["txn_ops"] or (
+            max(sizes, default=0) > 1024 * limits["value_kb"]
+        ):
+            self.too_large += 1
+            return 400
+        rate = limits["write_rps"]
+        self.level = min(rate, self.level + (self.world.now - self.filled) * rate)
+        self.filled = self.world.now
+        if self.level < len(writes):
+            self.too_fast += 1
+            return 429
+        self.level -= len(writes)
+        self.writes += len(writes)
+        return None
 
     def expire(self):
         for lease, (until, _) in list(self.leases.items()):
@@ -141,7 +171,11 @@
 
     def transaction(self, txn, reply):
         writes = txn["writes"]
-        assert len(writes) <= 16, "more operations than txn_ops"
+        refused = self.refuses(txn)
+        if refused is not None:
+            assert refused == 429 or self.limits != LIMITS, "beyond the limits of the settings"
+            reply(refused, b'{"error":"limits"}')
+            return
         if any(w.get("permit") is not None and w["permit"] not in self.leases for w in writes):
             reply(400, b'{"error":"no such lease"}')
             return
@@ -382,7 +416,12 @@
 class World:
     """The clock, the network and the checks of the rules."""
 
-    def __init__(self, seed=1, nodes=3, lease_s=12.0, cancel_s=40.0, parted=False):
+    def __init__(self, seed=1, nodes=3, lease_s=12.0, cancel_s=40.0, parted=False, coming=None,
+                 versions=None):
+        # The limits that the settings announce; the older version that a member's next process
+        # runs (`tests/production.py`), by name; and those of the processes there are.
+        self.coming, self.versions = coming, versions if versions is not None else {}
+        self.mixed, self.running = versions is not None, {}
         # Below a bound on guarantees for each core all teams have one owner.
         self.cores = 0.01 if parted else 1.0
         self.rng = random.Random(seed)
@@ -442,9 +481,14 @@
     def boot(self, name):
         self.life[name] += 1
         index = self.names.index(name)
-        made = settings_module.parse(
-            raw_settings(index, len(self.names), self.lease_s, self.cancel_s, self.cores))
-        self.nodes[name] = Node(made, self.rng.getrandbits(32), self.now, day=1000.0)
+        raw = raw_settings(
+            index, len(self.names), self.lease_s, self.cancel_s, self.cores, self.coming)
+        seed, version = self.rng.getrandbits(32), self.versions.get(name)
+        self.running[name] = version
+        if version is not None:
+            self.nodes[name] = version.node(raw, seed, self.now)
+        else:
+            self.nodes[name] = Node(settings_module.parse(raw), seed, self.now, day=1000.0)
         self.tick(name, self.life[name])
 
     def crash(self, name, back_after=2.0):
@@ -479,6 +523,12 @@
 
         self.carry(sender, name, arrive)
 
+    def fleet(self):
+        """The fleet's records that count: the one record while it exists, else the pages."""
+        data = self.state.data
+        keys = ["c/fleet"] if "c/fleet" in data else [k for k in data if k.startswith("c/fleet/")]
+        return [data[key][0] for key in keys]
+
     def drain(self, name):
         node, life = self.nodes.get(name), self.life[name]
         if node is None:
@@ -495,8 +545,11 @@
             self.check_answer(user)
         out.replies.clear()
         frames, out.frames = out.frames, []
+        codec = self.running[name].peer if self.running[name] else peer
         for member, frame in frames:
-            self.carry(name, member, lambda m=member, f=frame: self.frame(name, m, f))
+            # Versions meet as bytes; among equals the way there and back changes nothing.
+            sent = codec.pack(frame) if self.mixed else frame
+            self.carry(name, member, lambda m=member, f=sent: self.frame(name, m, f))
         calls, out.calls = out.calls, []
         for call in calls:
             self.send(name, life, call)
@@ -504,7 +557,10 @@
     def frame(self, sender, member, frame):
         node = self.nodes.get(member)
         if node:
-            node.received(self.now, sender, frame)
+            codec = self.running[member].peer if self.running[member] else peer
+            frames = codec.Unpacker().feed(frame) if self.mixed else [frame]
+            for one in frames:
+                node.received(self.now, sender, one)
             self.drain(member)
 
     def send(self, name, life, call):
