--- a/tests/world.py
+++ b/tests/world.py
@@ -350,11 +350,12 @@
     def __init__(self, world):
         self.world = world
         self.bookings, self.machines, self.names = {}, {}, itertools.count(1)
+        self.offer = [TYPE]
         self.capacity = {(z, s): 3 for z in "abc" for s in (True, False)}
 
     def handle(self, method, path, body, reply):
         if path == "/machine_types":
-            reply(200, json.dumps({"racks": [TYPE]}).encode())
+            reply(200, json.dumps({"racks": self.offer}).encode())
         elif path == "/rentals" and method == "POST":
             ask = json.loads(body)
             if ask["booking"] not in self.bookings:
