--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -354,6 +354,117 @@
     assert service.serve(call)[0] == 409 and successor.paged and "c/fleet" not in service.state.data
 
 
+class FleetDay:
+    """A fleet that changes at random while writes are lost, late or unanswered and leaders fall."""
+
+    def __init__(self, seed, value_kb):
+        self.rng, self.service = random.Random(seed), Service(value_kb=value_kb)
+        self.proof, self.numbers = False, itertools.count(1)
+        # What the cloud has answered to bookings that were sent; machines; marks that count.
+        self.cloud, self.machines, self.marked = {}, {}, set()
+        if seed % 2:
+            old_form(self.service, 60)
+            self.machines = dict(self.service.truth()[1])
+            self.cloud["b-1-7"] = [f"m-{next(self.numbers) + 900000:06d}" for _ in range(3)]
+            self.marked = set(self.machines)
+        self.service.fate = lambda body: self.rng.choices(
+            ["served", "answer lost", "late", "never"], [20, 1, 1, 1])[0]
+        self.lead()
+
+    def lead(self):
+        service, rng = self.service, self.rng
+        self.roster = service.roster(proven=False)
+        self.roster.page_room = min(self.roster.page_room, 0.8 * 1024 * self.limit())
+        self.roster.proven = lambda: self.proof
+        self.roster.on_stored = lambda now, names: self.marked.update(names)
+        self.open = {}
+        for request in list(self.roster.booked):
+            # A successor asks the cloud again, which gives the same answer.
+            self.cloud.setdefault(request, self.names(rng.randint(1, 9)))
+            self.open[request] = True
+
+    def limit(self):
+        return self.service.state.limits["value_kb"]
+
+    def names(self, count):
+        # Some are longer than a booking's room was kept for.
+        return [f"m-{'x' * self.rng.choice([0, 0, 12])}{next(self.numbers):06d}"
+                for _ in range(count)]
+
+    def change(self):
+        rng, now, roster = self.rng, self.service.now, self.roster
+        kind = rng.random()
+        if kind < 0.25 and len(roster.places) < 150:
+            request, place = f"b-{next(self.numbers)}-{roster.token_version()}", rng.choice(PLACES)
+
+            def then(n, ok):
+                if self.roster is not roster:
+                    return
+                if ok:
+                    self.open[request] = True
+                    self.cloud[request] = self.names(count)
+                else:
+                    roster.ended(n, request, [])
+
+            count = rng.randint(1, 20)
+            roster.book(now, request, place, count, then)
+        elif kind < 0.5 and self.open:
+            request = rng.choice(sorted(self.open))
+            del self.open[request]
+            place = roster.booked[request][0]
+            self.machines.update(dict.fromkeys(self.cloud[request], place))
+            roster.ended(now, request, self.cloud[request])
+        elif kind < 0.8 and set(roster.places) - roster.up:
+            name = rng.choice(sorted(set(roster.places) - roster.up))
+            roster.came_up(now, name, roster.places[name])
+        elif kind < 0.97 and roster.places:
+            name = rng.choice(sorted(roster.places))
+            self.machines.pop(name, None)
+            self.marked.discard(name)
+            for names in self.cloud.values():
+                if name in names:
+                    names.remove(name)
+            roster.gone(now, name)
+        elif kind > 0.99:
+            self.lead()
+
+    def late(self):
+        while self.service.late and self.rng.random() < 0.1:
+            calls = self.service.late
+            self.service.serve(calls.pop(self.rng.randrange(len(calls))))
+
+    def check(self):
+        booked, places, up = self.service.truth()
+        assert set(self.open) <= set(booked)
+        for request, names in self.cloud.items():
+            assert request in booked or set(names) & set(self.machines) <= set(places)
+        assert self.marked <= up
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_random_days_of_a_fleet_lose_no_booking_machine_or_mark(seed):
+    day = FleetDay(seed, 32.0)
+    for step in range(700):
+        if step == 150:
+            day.proof = True
+        if step == 300:
+            # Pages that were stored when values could be larger are broken up by a successor.
+            day.service.state.drop(value_kb=1.2)
+            day.lead()
+        day.change()
+        day.service.step(day.roster)
+        if day.roster.stuck():
+            day.lead()
+        day.late()
+        day.check()
+    day.service.fate = lambda body: "served"
+    day.service.run(day.roster, 20.0)
+    day.check()
+    assert day.roster.paged and "c/fleet" not in day.service.state.data
+    assert day.service.truth() == (day.roster.booked, day.roster.places, day.roster.up)
+    assert day.service.state.too_large <= 2
+
+
 # -- the ledger ----------------------------------------------------------------------------
 
 
