--- a/src/copperpass/core/users.py
+++ b/src/copperpass/core/users.py
@@ -5,14 +5,13 @@
 import math
 from collections import OrderedDict
 from collections.abc import Callable
-from typing import Any
 
 import msgspec
 
 from copperpass import wire
 from copperpass.core.fleet import type_fits
 from copperpass.core.jobs import LIVE, OVER, fits
-from copperpass.core.ledger import APPLIED, CONFLICT, URGENT, Ledger, Op
+from copperpass.core.ledger import APPLIED, CONFLICT, INVALID, URGENT, Ledger, Op
 from copperpass.core.ports import Call, Outbox, Outcome, Reply
 from copperpass.settings import Cluster, Team
 
@@ -74,12 +73,6 @@
         raise Verdict(422, "a gang can't be both in one zone and spread")
 
 
-def check_size(record: dict[str, Any], cluster: Cluster) -> None:
-    """Raise a Verdict when a record can't be stored: the answer would be 503 for ever."""
-    if len(wire.encode(record)) > min(cluster.state.value_kb * 1024, wire.MAX_BODY / 2):
-        raise Verdict(400, "larger than a record may be")
-
-
 def _read(outcome: Outcome) -> tuple[wire.JobRecord, int] | None:
     """The record and version that a read brought."""
     item = wire.decode(outcome.body, wire.Item) if outcome.status == 200 else None
@@ -127,17 +120,33 @@
         if not self.types:
             self._refuse(now, request, spec.id, Verdict(503, "machine types not known yet"))
             return
-        record = {"spec": msgspec.to_builtins(spec), "at": round(now + self.day, 1)}
         try:
             check(spec, self.cluster, self.types)
-            check_size(record, self.cluster)
         except Verdict as verdict:
             self._refuse(now, request, spec.id, verdict)
             return
+        record = {"spec": msgspec.to_builtins(spec), "at": round(now + self.day, 1)}
+        room = self.cluster.state.least_value_bytes
+        if len(wire.encode(record)) > room and spec.types is not None:
+            # Types named twice, or that don't exist, say nothing.
+            spec.types = [t for t in dict.fromkeys(spec.types) if t in self.types]
+            record["spec"] = msgspec.to_builtins(spec)
+        size = len(wire.encode(record))
+        if size > room:
+            self._refuse(now, request, spec.id, Verdict(422, "can never be stored: too large"))
+            return
+
+        def stored(n: float, how: str, revision: int) -> None:
+            if how == INVALID and size > 0.8 * room:
+                # The service counts a value's bytes in a longer notation than ours.
+                self._refuse(n, request, spec.id, Verdict(422, "can never be stored: too large"))
+            else:
+                self._submitted(n, how, request, spec.id)
+
         op = Op(
             {LIVE + spec.id: 0, OVER + spec.id: 0},
             [wire.put(LIVE + spec.id, record)],
-            lambda n, how, rev: self._submitted(n, how, request, spec.id),
+            stored,
             now + self.read_timeout,
             URGENT,
         )
