A stored cancellation is told to proven members at once, beside the watch

A hint, never proof: it spares starts after a confirmed cancellation while the owner's view is late. Older members close the link on an unknown frame, so it goes only to those proven to know it.

--- a/src/copperpass/core/jobs.py
+++ b/src/copperpass/core/jobs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -11,6 +12,7 @@
 
 LIVE, OVER, ENDS = "c/live/", "d/job/", "c/ends/"
 EPS = 1e-6
+KNOWN_OFF = 2000
 
 
 def fits(amount: float, room: float) -> bool:
@@ -71,6 +73,8 @@
     hold_until: float = 0.0
     guaranteed: bool = False
     judged: bool = False
+    # Another member has stored its cancellation, which the view may be late to show.
+    called_off: bool = False
     # Of a gang: the attempt that all its tasks share (0: none), whether one of them was seen to
     # run, and whether the attempt is over, but for tasks that are not proven gone.
     attempt: int = 0
@@ -197,6 +201,18 @@
     day: float = 0.0
     # Records of ends, each of many jobs: key -> job -> done tasks.
     pages: dict[str, dict[str, str]] = field(default_factory=dict)
+    # Jobs that are cancelled for certain although the view may not show it, or not even the job.
+    off: OrderedDict[str, None] = field(default_factory=OrderedDict)
+
+    def call_off(self, job_id: str) -> Job | None:
+        """A job is cancelled for good; returns it if it is known."""
+        self.off[job_id] = None
+        while len(self.off) > KNOWN_OFF:
+            self.off.popitem(last=False)
+        job = self.jobs.get(job_id)
+        if job is not None:
+            job.called_off = True
+        return job
 
     def saw_ends(self, key: str, raw: bytes | None) -> None:
         """Take in a record of ends."""
@@ -232,6 +248,7 @@
             job = make_job(record, version, now, self.day)
             if job is not None:
                 self.jobs[job_id] = job
+                job.called_off = job_id in self.off
                 for page in self.pages.values():
                     if job_id in page:
                         self._merge(job, job_id, page[job_id])
--- a/src/copperpass/core/node.py
+++ b/src/copperpass/core/node.py
@@ -56,6 +56,7 @@
         self.ledger = Ledger(self.out, state.least_write_rps, state.least_txn_ops, timeout)
         self.desk = UserDesk(cluster, self.out, self.ledger, 1.6, day)
         self.desk.counts = self.counts_of
+        self.desk.called_off = self._call_off
         self.jobs = JobTable(day=day)
         self.fleet = Stored()
         # Of the records of ends.
@@ -100,7 +101,7 @@
             self.authority.known = True
         self.authority.tick(now)
         self.ledger.pump(now)
-        self.members.tick(now, self.landlord is not None)
+        self.members.tick(now)
         wanted = not self.stored_types and not self.types_too_large
         if self.landlord is not None and wanted and self.types:
             # Refetch at once so that the first leader stores the offer.
@@ -153,6 +154,8 @@
             if report is not None:
                 status, body = self._answer(now, report, True)
                 self.out.send(sender, peer.Answered(frame.number, status, body))
+        elif isinstance(frame, peer.CalledOff):
+            self._called_off(now, frame.job)
         elif isinstance(frame, peer.Answered):
             self.relay.answered(frame)
         elif isinstance(frame, peer.Pull):
@@ -253,6 +256,23 @@
         latest = max(self.peer_state.values(), default=float("-inf"))
         return latest - self.view.fresh_at > self.ttl
 
+    def _call_off(self, now: float, job_id: str) -> None:
+        """A cancellation is stored: whoever runs the job's tasks should hear of it at once.
+
+        A hint beside the watch, which may be late by as much as the bound on the view: it spares
+        starts after a confirmed cancellation, and proves nothing about what users are told.
+        """
+        self._called_off(now, job_id)
+        for other in self.authority.others:
+            if self.proven(other):
+                self.out.send(other, peer.CalledOff(job_id))
+
+    def _called_off(self, now: float, job_id: str) -> None:
+        job = self.jobs.call_off(job_id)
+        if job is not None:
+            for owner in self.owners:
+                owner.call_off(now, job)
+
     def proven(self, member: str) -> bool:
         """Whether a member is certainly of this version or a later one.
 
--- a/src/copperpass/core/owner.py
+++ b/src/copperpass/core/owner.py
@@ -480,6 +480,8 @@
                 p.image, p.estimate_s = spec.image, spec.estimate_s
                 machine.touch_image(spec.image, spec.image_gb)
                 self.tally.recount(machine)
+            if p.active and job.called_off:
+                p.stop, p.stopping_for = 0.0, "called off"
             if p.active and p.index < job.spec.tasks:
                 other = job.placed.get(p.index)
                 if other is None and not job.is_done(p.index):
@@ -894,7 +896,19 @@
         if self.pools.get(job.spec.team, self.pool) != self.pool:
             return
         self.progress.over(job)
-        for name in self.where.pop(job.spec.id, ()):
+        self._stop_all(now, job, "job over")
+        self.where.pop(job.spec.id, None)
+        self.dirty = True
+
+    def call_off(self, now: float, job: Job) -> None:
+        """A job's cancellation is stored, whatever the view shows: its tasks go, none starts."""
+        if self.pools.get(job.spec.team, self.pool) == self.pool:
+            self._stop_all(now, job, "called off")
+            self.dirty = True
+
+    def _stop_all(self, now: float, job: Job, why: str) -> None:
+        """Take back a job's starts, and stop all that is or may be there."""
+        for name in list(self.where.get(job.spec.id, ())):
             machine = self.machines.get(name)
             if machine is None:
                 continue
@@ -906,13 +920,12 @@
                 if p in machine.starts:
                     self._remove(now, machine, p)
                 elif p.active:
-                    p.stop, p.stopping_for = 0.0, "job over"
+                    p.stop, p.stopping_for = 0.0, why
                     p.stop_sent = 0.0
-                else:
+                elif job.spec.id not in self.jobs.jobs:
                     p.stored = True
             if touched:
                 self._send_direct(now, machine)
-        self.dirty = True
 
     # -- time --------------------------------------------------------------------------
 
@@ -990,7 +1003,7 @@
         return {name: (u[0] + ghosts[0], u[1] + ghosts[1]) for name, u in used.items()}
 
     def _startable(self, job: Job, now: float) -> bool:
-        if now < job.hold_until or job.ending:
+        if now < job.hold_until or job.ending or job.called_off:
             return False
         if job.created > self.revision or not (self.unsettled or self.elsewhere):
             return True
--- a/src/copperpass/core/users.py
+++ b/src/copperpass/core/users.py
@@ -96,6 +96,8 @@
         # Jobs whose live records have gone, which never come back.
         self.removed: OrderedDict[str, None] = OrderedDict()
         self.counts: Callable[[str], tuple[int, int]] = lambda job_id: (0, 0)
+        # Whom to tell of a cancellation that is stored.
+        self.called_off: Callable[[float, str], None] = lambda now, job_id: None
 
     # -- requests -------------------------------------------------------------
 
@@ -180,6 +182,7 @@
                 if how == APPLIED:
                     over = wire.JobRecord(final=wire.CANCELLED, count=count)
                     self.note_final(job_id, over)
+                    self.called_off(m, job_id)
                     self._tell(request, job_id, over)
                 elif how == CONFLICT and tries > 1:
                     # A task of the job ended in between: the record has moved on, look again.
--- a/src/copperpass/core/versions.py
+++ b/src/copperpass/core/versions.py
@@ -38,13 +38,12 @@
         """Whether every member is."""
         return len(self.known) == len(self.members)
 
-    def tick(self, now: float, leading: bool) -> None:
-        """Store the own key; while leading, read those of the others that are not proven."""
+    def tick(self, now: float) -> None:
+        """Store the own key, and read those of the members that are not proven."""
         if now < self.next_try or self.all_proven():
             return
-        wanted = self.members if leading else [self.member]
         self.next_try = now + self.gap_s
-        for member in wanted:
+        for member in self.members:
             if member not in self.known and member not in self.busy:
                 self._read(member)
 
--- a/src/copperpass/peer.py
+++ b/src/copperpass/peer.py
@@ -17,6 +17,9 @@
 HEADER = struct.Struct("!2sBBI")
 HELLO, BEAT, ASK, PROMISE, COUNTS, HANDED, ANSWERED = range(1, 8)
 PULL, GRANT, ENTRIES, STATUSES, WANTS = range(8, 13)
+# Older members of this version close the link on a kind that they don't know: these go only to
+# members that are proven to know them.
+CALLED_OFF = 13
 _BEAT = struct.Struct("!QI")
 _ASK = struct.Struct("!QQ")
 _ANSWER = struct.Struct("!QQB")
@@ -156,9 +159,16 @@
     wants: tuple[tuple[str, int, float], ...]
 
 
+@dataclass(frozen=True, slots=True)
+class CalledOff:
+    """A job's cancellation is stored: the receiver's view may be late to see it."""
+
+    job: str
+
+
 Frame = (
     Hello | Beat | Ask | Promise | Counts | Handed | Answered
-    | Pull | Grant | Entries | Statuses | Wants
+    | Pull | Grant | Entries | Statuses | Wants | CalledOff
 )
 _PULL = struct.Struct("!QQIQ")
 _GRANT = struct.Struct("!QQIIQBQB")
@@ -317,6 +327,8 @@
         kind, payload = HANDED, _HANDED.pack(frame.number) + frame.body
     elif isinstance(frame, Answered):
         kind, payload = ANSWERED, _ANSWERED.pack(frame.number, frame.status) + frame.body
+    elif isinstance(frame, CalledOff):
+        kind, payload = CALLED_OFF, frame.job.encode()
     elif isinstance(frame, Pull | Grant | Entries | Statuses | Wants):
         kind, payload = _pack_share(frame)
     else:
@@ -346,6 +358,8 @@
             return Promise(token, number, bool(granted))
         if PULL <= kind <= WANTS:
             return _unpack_share(kind, payload)
+        if kind == CALLED_OFF:
+            return CalledOff(payload.decode())
         if kind == HANDED:
             (number,) = _HANDED.unpack_from(payload)
             return Handed(number, payload[_HANDED.size :])
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -4,6 +4,7 @@
 
 from copperpass.core.authority import Authority
 from copperpass.core.node import Node
+from copperpass.peer import CalledOff
 from tests.test_stories import running
 from tests.world import World, job
 
@@ -122,3 +123,35 @@
     world.stuck.clear()
     world.run(5.0)
     assert view.fresh_at > before + 5.0
+
+
+def test_a_cancellation_is_heard_of_before_the_view_shows_it():
+    world = started_world()
+    world.run_until(lambda: all(n.members.all_proven() for n in world.nodes.values()), 10)
+    leader = world.leader()
+    world.stuck.add(leader)
+    world.run(1.0)
+    waiting = world.submit(job(9, tasks=9, cpus=7.5, run_s=100.0), "n2")
+    others = [n for n in world.names if n != leader]
+    asked = [world.cancel(f"req-{n:06d}", others[n % 2]) for n in (1, 2, 3, 4, 9)]
+    world.run(1.2)
+    assert waiting.status == 201 and [a.status for a in asked] == [200] * 5
+    assert world.leader() == leader and running(world) == 0
+    starts = world.starts
+    world.run(30.0)
+    assert world.starts == starts and not world.broken
+
+
+def test_only_members_proven_to_know_it_are_told_of_a_cancellation():
+    world = started_world()
+    world.run_until(lambda: all(n.members.all_proven() for n in world.nodes.values()), 10)
+    told = []
+    leader = world.leader()
+    one, other = [n for n in world.names if n != leader]
+    deliver = world.frame
+    world.frame = lambda s, m, f: (
+        told.append((s, m)) if isinstance(f, CalledOff) else deliver(s, m, f))
+    world.nodes[one].members.known.discard(leader)
+    world.cancel("req-000001", one)
+    world.run(2.0)
+    assert told == [(one, other)] and running(world) == 6
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -9,6 +9,7 @@
 from copperpass.core.directory import Contact, Entry, Status
 
 FRAMES = [
+    peer.CalledOff("req-000412"),
     peer.Hello("n1"), peer.Beat(7, peer.NEVER), peer.Ask(7, 9), peer.Promise(7, 9, True),
     peer.Promise(7, 9, False), peer.Counts({"req-000001": 3, "req-000002": 1}), peer.Counts({}),
     peer.Handed(7, b"{}" * 30000), peer.Answered(7, 421, b""),
