--- a/src/copperpass/core/dispatch.py
+++ b/src/copperpass/core/dispatch.py
@@ -453,10 +453,14 @@
         gang = owner is not None and owner.spec.gang
         return gang, lost_work(p, owner.spec.checkpoint_s if owner else 0.0, now)
 
+    # A gang is stopped as a whole and begins anew as a whole: only for a guarantee or production.
+    spares = not under and mine < wire.PRIORITIES["production"]
+    gangs = {j for j in {p.job_id for p in machine.tasks.values()}
+             if j in jobs and jobs[j].spec.gang} if spares else set()
     may = [
         p
         for p in machine.tasks.values()
-        if p.active and p.stop is None and p.seen
+        if p.active and p.stop is None and p.seen and p.job_id not in gangs
         and (p.priority < mine or (under and p.team != spec.team and p.team in over_guarantee))
     ]
     may.sort(key=lambda p: (p.priority, cost(p)))
