--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -155,11 +155,11 @@
             held.saw(key, json.dumps(value).encode(), version)
         return held
 
-    def roster(self, proven=True, limits_drop=True, room=32768.0):
+    def roster(self, proven=True, limits_drop=True, rate=15.0, least=2048.0):
         token = self.win()
         held = self.stored()
-        ledger = Ledger(self.out, 15.0, 5, 1.0)
-        made = Roster(ledger, lambda: token, room, 4 / 15.0, 12.0, 2048.0, 5,
+        ledger = Ledger(self.out, rate, 5, 1.0)
+        made = Roster(ledger, lambda: token, 32768.0, 4 / rate, 12.0, least, 5,
                       lambda: proven, limits_drop)
         made.load(held.record, held.version, held.pages)
         made.begin(self.now)
@@ -373,8 +373,10 @@
 
     def lead(self):
         service, rng = self.service, self.rng
-        self.roster = service.roster(proven=False)
-        self.roster.page_room = min(self.roster.page_room, 0.8 * 1024 * self.limit())
+        least = 1024 * self.service.state.limits["value_kb"]
+        self.roster = service.roster(proven=False, rate=60.0, least=min(least, 2048.0))
+        # What one transaction would cover must hold when it takes several as well.
+        self.roster.txn_ops = rng.choice([1, 2, 5])
         self.roster.proven = lambda: self.proof
         self.roster.on_stored = lambda now, names: self.marked.update(names)
         self.open = {}
@@ -383,18 +385,15 @@
             self.cloud.setdefault(request, self.names(rng.randint(1, 9)))
             self.open[request] = True
 
-    def limit(self):
-        return self.service.state.limits["value_kb"]
-
     def names(self, count):
         # Some are longer than a booking's room was kept for.
-        return [f"m-{'x' * self.rng.choice([0, 0, 12])}{next(self.numbers):06d}"
-                for _ in range(count)]
+        filler = "x" * self.rng.choice([0, 0, 20])
+        return [f"m-{filler}{next(self.numbers):06d}" for _ in range(count)]
 
     def change(self):
         rng, now, roster = self.rng, self.service.now, self.roster
         kind = rng.random()
-        if kind < 0.25 and len(roster.places) < 150:
+        if kind < 0.25 and len(roster.places) < 250:
             request, place = f"b-{next(self.numbers)}-{roster.token_version()}", rng.choice(PLACES)
 
             def then(n, ok):
@@ -425,7 +424,7 @@
                 if name in names:
                     names.remove(name)
             roster.gone(now, name)
-        elif kind > 0.99:
+        elif kind > 0.995:
             self.lead()
 
     def late(self):
@@ -451,7 +450,8 @@
             # Pages that were stored when values could be larger are broken up by a successor.
             day.service.state.drop(value_kb=1.2)
             day.lead()
-        day.change()
+        for _ in range(day.rng.randint(0, 4)):
+            day.change()
         day.service.step(day.roster)
         if day.roster.stuck():
             day.lead()
