--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -354,6 +354,34 @@
     assert service.serve(call)[0] == 409 and successor.paged and "c/fleet" not in service.state.data
 
 
+def test_what_two_pages_say_of_a_machine_adds_up_before_either_forgets_it():
+    # A leader died while it moved machines from one page to another.
+    service = Service()
+    place = {"type": "caja-grande", "zone": "monterrey", "spot": True}
+    service.put("c/fleet/0", {"places": [{**place, "fresh": ["m-1", "m-2"]}]})
+    service.put("c/fleet/1", {"places": [{**place, "up": ["m-1"], "fresh": ["m-3"]}]})
+    truth = service.truth()
+    roster = service.roster()
+    roster.txn_ops = 1
+    for _ in range(100):
+        service.step(roster)
+        assert service.truth() == truth and truth[2] == {"m-1"}
+    assert str(service.state.data).count("'m-1'") == 1
+
+
+def test_a_page_that_a_late_removal_has_taken_is_written_again():
+    # It was left over from a move, its removal had no answer, and then it was taken into use.
+    service = Service()
+    roster = service.roster()
+    roster.came_up(service.now, "m-1", PLACES[0])
+    service.run(roster, 2.0)
+    service.state.transaction({"guards": [], "writes": [{"remove": "c/fleet/0"}]},
+                              lambda status, body: None)
+    roster.came_up(service.now, "m-2", PLACES[0])
+    service.run(roster, 4.0)
+    assert service.truth()[2] == {"m-1", "m-2"}
+
+
 class FleetDay:
     """A fleet that changes at random while writes are lost, late or unanswered and leaders fall."""
 
