--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -297,7 +297,8 @@
 
 
 def test_the_zone_that_a_job_is_tied_to_gets_the_machines():
-    # Holds `rental.tied`. Rented elsewhere, they were of no use to it: they idled and went back, again and again.
+    # Holds `rental.tied`. Rented elsewhere, machines were of no use to it: they idled, went back,
+    # and were rented again.
     world = World(seed=2)
     world.cloud.capacity = {(z, s): 6 for z in "abc" for s in (True, False)}
     world.run_until(world.leader)
