--- a/src/copperpass/core/owner.py
+++ b/src/copperpass/core/owner.py
@@ -342,8 +342,9 @@
             newest = max(machine.last_report, machine.last_message)
             machine.last_answer = max(machine.last_answer, newest)
             return wire.ReportAnswer(machine.token, [])
-        if handed:
-            machine.handed_until = now + 2 * self.report_s
+        # A worker that has found its way here can be told directly again: a new machine's first
+        # report often comes to another controller.
+        machine.handed_until = now + 2 * self.report_s if handed else float("-inf")
         self._take(now, machine, report, True)
         if self._doubtful(now, machine):
             return None
