--- a/src/copperpass/core/landlord.py
+++ b/src/copperpass/core/landlord.py
@@ -155,6 +155,7 @@
             state.next is not None)
         self.saw_fleet(fleet)
         self.roster.on_stored = self._marked_up
+        self.paged = self.roster.paged
         self.aims = dispatch.Aims(cluster.objectives, tuning.patience_s)
         self.scarce = dispatch.Scarce(types, tuning.keep_scarce_s)
         self.refusals = rental.Refusals()
@@ -517,6 +518,10 @@
         self._relieve(now)
         self._share_out(now)
         self.roster.tick(now)
+        if self.roster.paged and not self.paged:
+            # From here on there is no going back to a version that knows `c/fleet` alone.
+            self.paged = True
+            self.out.log("info", "fleet moved", pages=len(self.roster.pages))
         if now >= self.next_list and not self.listing:
             self._list(now)
         if now >= self.next_plan and self.types:
