Count a lease to its end under grants of the term before

A leader that gives up, or restarts within a moment, ends its key before its grants have ended. An owner that had not seen it went on answering workers, and the next one freed their tasks by a lease counted from before those answers. Guard: test_a_lease_is_not_over_while_an_owner_of_the_term_before_may_have_renewed_it, seen to fail without it.

--- a/src/copperpass/core/landlord.py
+++ b/src/copperpass/core/landlord.py
@@ -514,8 +514,9 @@
             if again or (never and not held.releasing):
                 self._release(now, [held])
             unclaimed = held.entry.may_hold != EMPTY and held.entry.pool == UNPOOLED
-            if unclaimed and now - self.won_at > self.lease_s:
-                # Nobody has answered it in this term, so its session is over; it is gone.
+            if unclaimed and now - self.won_at > self.lease_s + self.grant_s:
+                # Nobody has answered it in this term, nor under a grant of the term before, so its
+                # session is over; it is gone.
                 self._set(held, may_hold=EMPTY)
                 self._release(now, [held])
         keep = 20 * self.cluster.cloud.list_lag_s + 4 * self.lease_s
--- a/src/copperpass/core/owner.py
+++ b/src/copperpass/core/owner.py
@@ -8,7 +8,7 @@
 
 from copperpass import wire
 from copperpass.core import allocation, dispatch, rental
-from copperpass.core.authority import certain_lease_s
+from copperpass.core.authority import certain_lease_s, times_of
 from copperpass.core.directory import (
     ANYBODY,
     EMPTY,
@@ -28,6 +28,7 @@
     type_fits,
 )
 from copperpass.core.jobs import LIVE, OVER, Job, JobTable, fits, parse_task, task_id
+from copperpass.core.landlord import GRANT_PER_TTL
 from copperpass.core.ledger import APPLIED, Ledger, Op
 from copperpass.core.ports import NOT_SENT, Call, Outbox, Outcome
 from copperpass.core.progress import Progress
@@ -122,6 +123,10 @@
         self.dirty = False
         self.report_s = cluster.workers.report_s
         self.lease_s = certain_lease_s(cluster)
+        # A leader that gives up, or comes back within a moment, ends its key before its grants: an
+        # owner of that term that hasn't seen it may answer workers for as long as a grant.
+        parted = len(set(pools.values())) > 1
+        self.overlap_s = GRANT_PER_TTL * times_of(cluster).ttl if parted else 0.0
         self.silence = self.tuning.silence_reports * self.report_s
         # A worker that loses its way is back, over another node, after this long at most: to delete
         # its machine sooner would cost its tasks.
@@ -223,8 +228,8 @@
             machine.settled = machine.up = True
             machine.up_at = machine.last_report = machine.last_answer = now
         elif entry.recorded and entry.may_hold != EMPTY:
-            # An earlier commander may have answered the worker up to this moment.
-            machine.last_answer = now
+            # An earlier commander may have answered the worker up to this moment, or may yet.
+            machine.last_answer = now + self.overlap_s
             self.unsettled.add(entry.name)
         return machine
 
@@ -330,7 +335,7 @@
         if machine.settled:
             # Only two-way contact counts as hearing workers: a report alone may be a late copy.
             self.last_report = now
-        machine.last_answer = now
+        machine.last_answer = max(machine.last_answer, now)
         commands = self._orders(now, machine, report)
         return wire.ReportAnswer(machine.token, commands)
 
@@ -824,7 +829,7 @@
         few, cut = silence.few(machine.zone), silence.cut(machine.zone)
         patience = CUT_LEASES * self.lease_s if cut else self.lease_s
         quiet = now - machine.contact
-        waited = now - max(machine.last_answer, self.since)
+        waited = now - max(machine.last_answer - self.overlap_s, self.since)
         lost = machine.name in self.unsettled and waited > self.lost_s and few
         if not machine.up and machine.recorded and (lost or (ended and waited > patience)):
             # Known by its record alone, and silent for longer than a worker takes to find its way
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -602,3 +602,32 @@
     else:
         core.saw(51.1, TOKEN, b'{"token":0,"member":"n1"}', 9)
     assert promised()
+
+
+def test_a_lease_is_not_over_while_an_owner_of_the_term_before_may_have_renewed_it():
+    # Holds `overlap_s`: the leader restarted at once, and that owner had not seen it.
+    bench = Bench()
+    bench.add(version=40)
+    bench.owner.overlap_s = 1.5
+    machine = bench.take_over("m-9", contact=Contact("10.0.0.8:1", 3, 0))
+    bench.owner._scan(bench.now + 1.4 + bench.owner.lease_s)
+    assert machine.name in bench.owner.unsettled
+    bench.owner._scan(bench.now + 1.6 + bench.owner.lease_s)
+    assert machine.name not in bench.owner.unsettled
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_leader_is_back_within_a_moment_while_the_owners_cannot_see_it(seed):
+    specs = [job(n, tasks=4, run_s=60.0, team="red" if n % 2 else "blue") for n in range(1, 5)]
+    world = started_world(specs, 12, parted=True, seed=seed)
+    world.run(1.2 * world.lease_s)
+    old = world.leader()
+    world.refused = set(world.names) - {old}
+    world.run(0.1)
+    world.crash(old, 0.1)
+    world.run(1.0)
+    for worker in [w for w in world.cloud.workers() if w.on_it()][::2]:
+        for name in world.names:
+            world.cut(name, worker.name)
+    step(world, 1.5 * world.lease_s)
+    world.finish()
