--- a/src/copperpass/core/dispatch.py
+++ b/src/copperpass/core/dispatch.py
@@ -166,8 +166,9 @@
     def __init__(
         self, job: Job, roomy: Iterable[Machine], machines: dict[str, Machine], now: float, *,
         closed: set[str], cheap_only: bool, tight: bool, since: int = 0,
-        kept: frozenset[str] = frozenset(),
+        kept: frozenset[str] = frozenset(), any_room: bool = False,
     ) -> None:
+        self.any_room = any_room
         self.job, self.machines, self.now = job, machines, now
         self.kept = kept
         self.closed, self.cheap_only, self.tight = closed, cheap_only, tight
@@ -190,13 +191,13 @@
             return None
         if (self.cheap_only and not machine.spot) or kind.name in self.closed:
             return None
-        if machine.held_from(spec.id, self.now) and not (
+        if machine.held_from(spec.id, self.now) and not self.any_room and not (
             self.now + 2 * spec.estimate_s < machine.held_ready
         ):
             # Room that was freed by stopping tasks is for the job they were stopped for; room that
             # is held for a gang serves short work until the gang's other room is free.
             return None
-        if spec.spot and machine.name in self.kept:
+        if spec.spot and machine.name in self.kept and not self.any_room:
             # Ordinary room is kept for work that may not use any other.
             return None
         left = kind.cpus - machine.used_cpus - spec.cpus
--- a/src/copperpass/core/owner.py
+++ b/src/copperpass/core/owner.py
@@ -39,6 +39,8 @@
 EPOCH_SHIFT, SERIAL_SHIFT = 44, 28
 # The part of a pool's room that overdue work gets before work that can still be in time.
 LATE_PART = 0.5
+# The part of its patience after which a job none of whose tasks has started finds any room.
+KEPT_PART = 0.6
 # A zone that is silent as a whole is waited for as many leases before its machines are deleted.
 CUT_LEASES = 4.0
 Images = dict[str, "OrderedDict[str, float]"]
@@ -128,8 +130,9 @@
         self.dirty = False
         self.report_s = cluster.workers.report_s
         self.lease_s = certain_lease_s(cluster)
-        # A leader that gives up, or comes back within a moment, ends its key before its grants: an
-        # owner of that term that hasn't seen it may answer workers for as long as a grant.
+        # A leader of an older version that gives up, or comes back within a moment, ends its key
+        # before its grants: an owner of that term that hasn't seen it may answer workers for as
+        # long as a grant.
         parted = len(set(pools.values())) > 1
         self.overlap_s = GRANT_PER_TTL * times_of(cluster).ttl if parted else 0.0
         self.silence = self.tuning.silence_reports * self.report_s
@@ -312,9 +315,9 @@
             # Tasks that may be running where we have not looked yet need no machines.
             if not self._startable(job, now):
                 continue
-            if len(job.failed_on) >= 3:
+            if len(job.failed_on) >= 3 and not spec.gang:
                 # Probably it has a mistake; but it must find room to try again while it is wanted.
-                count = min(count, count if spec.gang else 1)
+                count = 1
             taken[spec.team] += count * spec.cpus
             if spec.cpus > 0:
                 under = max(0, int(room / spec.cpus + EPS))
@@ -1142,8 +1145,9 @@
             if index is None:
                 order[name].pop(0)
                 continue
+            left_out = self._left_out(job, now)
             since, *kept = quota.get(name, (0.0, 0.0, 0.0))
-            if job.arrived <= since:
+            if job.arrived <= since or left_out:
                 # What has waited for longer isn't held up: neither starves the other.
                 kept = [0.0, 0.0]
             over = not fits(used[name][0] + kept[0] + spec.cpus, team.cpus_max) or not fits(
@@ -1152,18 +1156,19 @@
             machine = None
             # Work that can wait does so for cheap room; dear room is for what can't.
             slack = self.aims.due(job, now) - now
-            can_wait = slack > self.tuning.patient_boots * self.boot_s
+            can_wait = slack > self.tuning.patient_boots * self.boot_s and not left_out
             patient = self.dear_excess and spec.spot and can_wait
             shape = None
             if not (spec.types or spec.zone or spec.one_zone or spec.spread or spec.id in held):
-                shape = (spec.cpus, spec.gpus, spec.memory_gb, spec.spot, patient)
+                shape = (spec.cpus, spec.gpus, spec.memory_gb, spec.spot, patient, left_out)
             if not over and shape not in full:
                 ranking = rankings.get(spec.id)
                 if ranking is None:
                     ranking = rankings[spec.id] = dispatch.Ranking(
-                        job, roomy, self.machines, now, closed=self.scarce.closed_to(spec),
+                        job, roomy, self.machines, now,
+                        closed=set() if left_out else self.scarce.closed_to(spec),
                         cheap_only=patient, tight=slack < self.boot_s, since=len(log),
-                        kept=self.kept)
+                        kept=self.kept, any_room=left_out)
                 machine = ranking.best(log)
                 if machine is None and shape is not None:
                     full.add(shape)
@@ -1183,6 +1188,9 @@
                         held.add(spec.id)
                 continue
             self._start(now, job, index, machine)
+            if left_out:
+                # Its first task has room; for the rest what is kept for others is closed again.
+                del rankings[spec.id]
             if late_used < late_quota and self.aims.overdue(job, now):
                 late_used += spec.cpus
                 dispatch.share_late(order[name], self.aims, now, late_used, late_quota)
@@ -1201,6 +1209,14 @@
         tightest = self.report_s / 4
         self.next_round = now + min(tightest, 0.01 + 0.002 * backlog)
 
+    def _left_out(self, job: Job, now: float) -> bool:
+        """Whether none of a job's tasks has started for so long that nothing is kept from it.
+
+        Room that is kept or held for others must not let a job wait beside it without a bound.
+        """
+        waits = not job.placed and not job.finished and job.done_count == 0
+        return waits and now - job.arrived > KEPT_PART * self.tuning.patience_s
+
     def _place_gang(
         self, now: float, job: Job, roomy: list[Machine], used: tuple[float, float],
         log: list[Machine],
@@ -1217,9 +1233,11 @@
                for p in self.machines[name].tasks.values()):
             # A task of an earlier attempt is not proven gone.
             return None
+        left_out = self._left_out(job, now)
         ranking = dispatch.Ranking(
-            job, roomy, self.machines, now, closed=self.scarce.closed_to(spec), cheap_only=False,
-            tight=True, since=len(log))
+            job, roomy, self.machines, now,
+            closed=set() if left_out else self.scarce.closed_to(spec),
+            cheap_only=False, tight=True, since=len(log), any_room=left_out)
         plan = dispatch.plan_gang(ranking, self.machines)
         if plan is None:
             if job.placed:
--- a/src/copperpass/core/users.py
+++ b/src/copperpass/core/users.py
@@ -51,25 +51,25 @@
         raise Verdict(422, "desk: unknown team")
     if not fits(spec.cpus, team.cpus_max) or not fits(spec.gpus, team.gpus_max):
         raise Verdict(422, "a task needs more than the team's limit")
+    zones = {
+        zone
+        for machine_type in types.values() for zone in machine_type.zones
+        if (spec.types is None or machine_type.name in spec.types)
+        and spec.zone in (None, zone) and type_fits(spec, machine_type)
+    }
+    if not zones:
+        raise Verdict(422, "a task fits no allowed machine type")
     if spec.gang:
-        _check_gang(spec, team)
-    for machine_type in types.values():
-        if spec.types is not None and machine_type.name not in spec.types:
-            continue
-        if spec.zone is not None and spec.zone not in machine_type.zones:
-            continue
-        if type_fits(spec, machine_type):
-            return
-    raise Verdict(422, "a task fits no allowed machine type")
+        _check_gang(spec, team, zones)
 
 
-def _check_gang(spec: wire.Spec, team: Team) -> None:
+def _check_gang(spec: wire.Spec, team: Team, zones: set[str]) -> None:
     """Raise a Verdict when a gang, whose tasks all run at once, can never run."""
     if not fits(spec.cpus * spec.tasks, team.cpus_max) or not fits(
         spec.gpus * spec.tasks, team.gpus_max
     ):
         raise Verdict(422, "the gang needs more than the team's limit")
-    if spec.spread and spec.tasks > 1 and (spec.one_zone or spec.zone is not None):
+    if spec.spread and spec.tasks > 1 and (spec.one_zone or len(zones) < 2):
         raise Verdict(422, "a gang can't be both in one zone and spread")
 
 
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -99,6 +99,8 @@
     for spec, status in [
             (gang(3, tasks=5, cpus=16.0), 422), (gang(4, team="blue", tasks=13, cpus=4.0), 422),
             (gang(5, tasks=2, cpus=17.0), 422), (gang(6, team="none"), 422),
+            (gang(9, tasks=3, spread=True), 422),
+            (gang(10, tasks=3, same_place=False, spread=True, hall="a"), 422),
             (job(7, tasks=5, cpus=16.0), 201), (gang(8, form="parade"), 400),
             (gang(1, tasks=4, cpus=16.0), 200), (gang(1, tasks=9, cpus=16.0), 200)]:
         for again in (False, True):
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -377,3 +377,19 @@
     bench.fresh_at = bench.now
     answer = bench.report(task)
     assert [(c.op, c.task) for c in answer.commands] == [("kill", "req-000009/0")]
+
+
+def test_a_job_left_out_for_long_gets_room_that_is_kept_for_others():
+    bench = Bench()
+    machine = bench.owner.machines["m-1"]
+    bench.add(tasks=3)
+    machine.held_for, machine.held_until = "req-000099", bench.now + 1000.0
+    bench.owner.round(bench.now)
+    assert not bench.take("worker"), "held for another"
+    for _ in range(80):
+        bench.report([])
+    bench.owner.round(bench.now)
+    (call,) = bench.take("worker")
+    assert len(json.loads(call.body)["orders"]) == 1, "it doesn't wait beside room"
+    bench.owner.round(bench.now)
+    assert not bench.take("worker"), "the rest of the room is still held"
