--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -29,13 +29,6 @@
         world.check_cancelled()
 
 
-def outage_over(world):
-    world.state.down = False
-    for lease, (_, ttl) in world.state.leases.items():
-        world.state.leases[lease] = (world.now + ttl, ttl)
-    world.state.wake()
-
-
 @pytest.mark.parametrize("gap", [0.3, 1.2, 2.5])
 @pytest.mark.parametrize("parted", [False, True])
 def test_cancelled_while_the_leader_is_refused_alone_and_then_everybody(parted, gap):
@@ -51,7 +44,7 @@
     world.refused.discard(old)
     watch_cancelled(world, 1.6 * world.cancel_s)
     assert running(world) == 0 and not world.broken
-    outage_over(world)
+    world.outage_over()
     watch_cancelled(world, 20.0)
     assert not world.broken
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -104,10 +104,7 @@
     refused = world.submit(job(9))
     world.run(2)
     assert refused.status == 503 and refused.retry_after >= 1
-    world.state.down = False
-    for lease, (_, ttl) in world.state.leases.items():
-        world.state.leases[lease] = (world.now + ttl, ttl)
-    world.state.wake()
+    world.outage_over()
     world.run_until(finished(world, 1, 2, 3), 90)
     assert world.starts == starts and not world.broken
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -821,6 +821,9 @@
         """The state service is out; afterwards every lease has its full time again."""
         self.state.down = True
         self.run(seconds)
+        self.outage_over()
+
+    def outage_over(self):
         self.state.down = False
         for lease, (_, ttl) in self.state.leases.items():
             self.state.leases[lease] = (self.now + ttl, ttl)
