--- a/src/copperpass/cli.py
+++ b/src/copperpass/cli.py
@@ -21,7 +21,8 @@
     made.add_argument("--version", action="version", version=f"copperpass {__version__}")
     made.add_argument("--config", required=True, metavar="FILE", help="the settings file (TOML)")
     made.add_argument(
-        "--operator", metavar="FILE",
+        "--operator",
+        metavar="FILE",
         help="the operators' own settings (protobuf text format, see operator.proto)",
     )
     made.add_argument(
--- a/src/copperpass/core/allocation.py
+++ b/src/copperpass/core/allocation.py
@@ -45,9 +45,7 @@
 def fair_share(claim: Claim, capacity: tuple[float, float], total_weight: float) -> float:
     """Tasks that the team would run on its weighted part of each resource."""
     part = claim.weight / total_weight
-    shares = [
-        part * capacity[r] / claim.request[r] for r in (0, 1) if claim.request[r] > TINY
-    ]
+    shares = [part * capacity[r] / claim.request[r] for r in (0, 1) if claim.request[r] > TINY]
     return min(shares) if shares else 0.0
 
 
@@ -112,9 +110,7 @@
             rho_1, rho_2 = (r1 * q2 - r2 * q1) / det, (p1 * r2 - p2 * r1) / det
             feasible = (
                 min(rho_1, rho_2) >= 1 - slack
-                and all(
-                    rho_1 * a[r] + rho_2 * b[r] <= capacity[r] * (1 + slack) for r in (0, 1)
-                )
+                and all(rho_1 * a[r] + rho_2 * b[r] <= capacity[r] * (1 + slack) for r in (0, 1))
                 and rho_2 * low * (1 - slack) <= rho_1 <= rho_2 * high * (1 + slack)
             )
             total = rho_1 * total_first + rho_2 * total_second
--- a/src/copperpass/core/authority.py
+++ b/src/copperpass/core/authority.py
@@ -153,7 +153,8 @@
             if self.leading and self.lead.token > self.token:
                 self.step_down(now, "another leads")
             if self.lead.member == self.member and self.lead.lease not in (
-                self.lease, self.new_lease
+                self.lease,
+                self.new_lease,
             ):
                 # Our own earlier run still holds the key: that process is gone, so end its lease.
                 self._end_key(now, self.lead.lease)
@@ -246,9 +247,7 @@
                 # A late write of the key is refused from now on.
                 self.doubtful.discard(lease)
 
-        self.out.calls.append(
-            Call("state", "DELETE", wire.path_lease(lease), then, b"", self.ttl)
-        )
+        self.out.calls.append(Call("state", "DELETE", wire.path_lease(lease), then, b"", self.ttl))
 
     # -- frames from the others -----------------------------------------------
 
@@ -373,8 +372,12 @@
         self.next_renewal = now + self.ttl / 4
         self.out.calls.append(
             Call(
-                "state", "POST", wire.path_extend(lease),
-                lambda n, o: self._renewed(n, o, lease, now), b"{}", self.ttl / 3,
+                "state",
+                "POST",
+                wire.path_extend(lease),
+                lambda n, o: self._renewed(n, o, lease, now),
+                b"{}",
+                self.ttl / 3,
             )
         )
 
--- a/src/copperpass/core/dispatch.py
+++ b/src/copperpass/core/dispatch.py
@@ -76,9 +76,7 @@
         return now > job.arrived + self.patience_s and self.due(job, now) < now
 
 
-def share_late(
-    queue: list[Job], aims: Aims, now: float, used: float, quota: float
-) -> None:
+def share_late(queue: list[Job], aims: Aims, now: float, used: float, quota: float) -> None:
     """Put overdue work, which comes first, behind the rest while it has its part of the room.
 
     Without a bound on its part, work that has no aim, or none left, would take all room from work
@@ -107,9 +105,7 @@
         taken[spec.team] = total
 
 
-def task_order(
-    jobs: Iterable[Job], aims: Aims, now: float, bonus_s: float = 0.0
-) -> list[Job]:
+def task_order(jobs: Iterable[Job], aims: Aims, now: float, bonus_s: float = 0.0) -> list[Job]:
     """Jobs by the nearest aim that can still be met; a higher priority counts as `bonus_s` sooner.
 
     Production goes first in any case. Work whose aims have all passed is due after a bounded wait,
@@ -164,9 +160,18 @@
     """
 
     def __init__(
-        self, job: Job, roomy: Iterable[Machine], machines: dict[str, Machine], now: float, *,
-        closed: set[str], cheap_only: bool, tight: bool, since: int = 0,
-        kept: frozenset[str] = frozenset(), any_room: bool = False,
+        self,
+        job: Job,
+        roomy: Iterable[Machine],
+        machines: dict[str, Machine],
+        now: float,
+        *,
+        closed: set[str],
+        cheap_only: bool,
+        tight: bool,
+        since: int = 0,
+        kept: frozenset[str] = frozenset(),
+        any_room: bool = False,
     ) -> None:
         self.any_room = any_room
         self.job, self.machines, self.now = job, machines, now
@@ -191,8 +196,10 @@
             return None
         if (self.cheap_only and not machine.spot) or kind.name in self.closed:
             return None
-        if machine.held_from(spec.id, self.now) and not self.any_room and not (
-            self.now + 2 * spec.estimate_s < machine.held_ready
+        if (
+            machine.held_from(spec.id, self.now)
+            and not self.any_room
+            and not (self.now + 2 * spec.estimate_s < machine.held_ready)
         ):
             # Room that was freed by stopping tasks is for the job they were stopped for; room that
             # is held for a gang serves short work until the gang's other room is free.
@@ -216,7 +223,7 @@
 
     def best(self, log: list[Machine]) -> Machine | None:
         """The best machine now; `log` names where the round has started tasks, in order."""
-        for machine in log[self.since:]:
+        for machine in log[self.since :]:
             self._add(machine)
         self.since = len(log)
         while self.heap:
@@ -366,15 +373,22 @@
             used.append(score)
         if left:
             continue
-        cost = (max(s[0] for s in used), max(s[3] for s in used), float(len(used)),
-                sum(s[2] for s in used) / len(used))
+        cost = (
+            max(s[0] for s in used),
+            max(s[3] for s in used),
+            float(len(used)),
+            sum(s[2] for s in used) / len(used),
+        )
         if best is None or cost < best.cost:
             best = GangPlan(places, cost)
     return best
 
 
 def gang_hold(
-    job: Job, usable: list[Machine], machines: dict[str, Machine], now: float,
+    job: Job,
+    usable: list[Machine],
+    machines: dict[str, Machine],
+    now: float,
     kept: frozenset[str],
 ) -> tuple[list[Machine], float, bool] | None:
     """The machines where a gang will find room soonest, when, and whether for all of its tasks.
@@ -382,8 +396,13 @@
     If nowhere for all, then where there is room for most: the rest is to be rented there.
     """
     spec, need = job.spec, len(job.missing())
-    allowed = [m for m in usable if allows(spec, m.type, m.zone, m.spot)
-               and type_fits(spec, m.type) and not m.held_from(spec.id, now)]
+    allowed = [
+        m
+        for m in usable
+        if allows(spec, m.type, m.zone, m.spot)
+        and type_fits(spec, m.type)
+        and not m.held_from(spec.id, now)
+    ]
     best: tuple[int, float, int, list[Machine]] | None = None
     most = (spec.tasks + 1) // 2 if spec.spread else spec.tasks
     for zones in _zones(job, {m.zone for m in allowed}, machines):
@@ -393,8 +412,10 @@
             if machine.zone not in zones:
                 continue
             room, had = list(machine.room()), 0
-            tasks = sorted(((remaining(p, now), p) for p in machine.tasks.values() if p.active),
-                           key=lambda pair: pair[0])
+            tasks = sorted(
+                ((remaining(p, now), p) for p in machine.tasks.values() if p.active),
+                key=lambda pair: pair[0],
+            )
             ready = 0.0
             for left, p in [*tasks, (0.0, None)]:
                 slots = _slots(spec, (room[0], room[1], room[2]), need)
@@ -438,9 +459,10 @@
     times = len(job.missing()) if spec.gang else 1
     needs = (spec.cpus * times, spec.gpus * times, spec.memory_gb * times)
     kind = machine.type
-    if any(need > have + EPS for need, have in zip(
-        needs, (kind.cpus, kind.gpus, kind.memory_gb), strict=True
-    )) or (spec.gang and spec.spread and times > 1):
+    if any(
+        need > have + EPS
+        for need, have in zip(needs, (kind.cpus, kind.gpus, kind.memory_gb), strict=True)
+    ) or (spec.gang and spec.spread and times > 1):
         return None
     if not allows(spec, machine.type, machine.zone, machine.spot):
         return None
@@ -454,12 +476,18 @@
 
     # A gang is stopped as a whole and begins anew as a whole: only for a guarantee or production.
     spares = not under and mine < wire.PRIORITIES["production"]
-    gangs = {j for j in {p.job_id for p in machine.tasks.values()}
-             if j in jobs and jobs[j].spec.gang} if spares else set()
+    gangs = (
+        {j for j in {p.job_id for p in machine.tasks.values()} if j in jobs and jobs[j].spec.gang}
+        if spares
+        else set()
+    )
     may = [
         p
         for p in machine.tasks.values()
-        if p.active and p.stop is None and p.seen and p.job_id not in gangs
+        if p.active
+        and p.stop is None
+        and p.seen
+        and p.job_id not in gangs
         and (p.priority < mine or (under and p.team != spec.team and p.team in over_guarantee))
     ]
     may.sort(key=lambda p: (p.priority, cost(p)))
--- a/src/copperpass/core/holder.py
+++ b/src/copperpass/core/holder.py
@@ -22,8 +22,14 @@
     """Follows one leader's term; pools and the directory of machines end with it."""
 
     def __init__(
-        self, member: str, incarnation: int, ttl: float, plan_s: float, out: Outbox,
-        make: MakeOwner, fresh_until: Callable[[], float] = lambda: float("inf"),
+        self,
+        member: str,
+        incarnation: int,
+        ttl: float,
+        plan_s: float,
+        out: Outbox,
+        make: MakeOwner,
+        fresh_until: Callable[[], float] = lambda: float("inf"),
         proven: Callable[[str], bool] = lambda member: False,
     ) -> None:
         self.member, self.incarnation, self.out, self.make = member, incarnation, out, make
@@ -101,8 +107,10 @@
             self.asked[self.number] = now
             while len(self.asked) > 4 * PULLS_PER_GRANT:
                 self.asked.popitem(last=False)
-            self.out.send(self.leader, peer.Pull(
-                self.epoch, self.incarnation, self.number, self.inbox.applied))
+            self.out.send(
+                self.leader,
+                peer.Pull(self.epoch, self.incarnation, self.number, self.inbox.applied),
+            )
         for number, owner in self.owners.items():
             share = self.shares[number]
             known = share.revision != UNKNOWN_REVISION and view_revision >= share.revision
@@ -143,8 +151,11 @@
         self, number: int, owner: Owner, wants: tuple[tuple[str, int, float], ...]
     ) -> None:
         """Say in which zones the jobs that want machines must have them."""
-        frame = peer.Tied(self.epoch, number, tuple(
-            (job, owner.ties[job]) for job, _, _ in wants if job in owner.ties))
+        frame = peer.Tied(
+            self.epoch,
+            number,
+            tuple((job, owner.ties[job]) for job, _, _ in wants if job in owner.ties),
+        )
         if self.landlord is not None:
             self.landlord.tied(frame)
         elif self.proven(self.leader):
@@ -165,8 +176,9 @@
                 self.table.put(status)
         while self.feed.sent < self.table.seq:
             before, upto, statuses = self.feed.next(BATCH)
-            self._send(now, peer.Statuses(
-                self.epoch, self.incarnation, before, upto, tuple(statuses)))
+            self._send(
+                now, peer.Statuses(self.epoch, self.incarnation, before, upto, tuple(statuses))
+            )
         if self.landlord is not None:
             self.feed.acknowledged(self.feed.sent)
             self._local(now, self.landlord)
@@ -190,8 +202,10 @@
     def entries(self, now: float, sender: str, part: peer.Entries) -> None:
         """Part of the leader's table."""
         mine = sender == self.leader and part.epoch == self.epoch
-        if mine and part.incarnation == self.incarnation and self.inbox.takes(
-            part.before, part.upto
+        if (
+            mine
+            and part.incarnation == self.incarnation
+            and self.inbox.takes(part.before, part.upto)
         ):
             self._learn(now, part.entries)
 
--- a/src/copperpass/core/jobs.py
+++ b/src/copperpass/core/jobs.py
@@ -159,8 +159,11 @@
 
     def missing(self) -> list[int]:
         """The tasks of a gang that have no place."""
-        return [i for i in range(self.spec.tasks)
-                if i not in self.placed and i not in self.finished and not self.is_done(i)]
+        return [
+            i
+            for i in range(self.spec.tasks)
+            if i not in self.placed and i not in self.finished and not self.is_done(i)
+        ]
 
     def settle_gang(self) -> None:
         """Once no task of a gang's attempt can be anywhere, another attempt may begin."""
@@ -175,9 +178,7 @@
             self.again.append(index)
 
 
-def make_job(
-    record: wire.JobRecord, version: int, now: float, day: float = 0.0
-) -> Job | None:
+def make_job(record: wire.JobRecord, version: int, now: float, day: float = 0.0) -> Job | None:
     """A job from its record; `day` is the time of day less the steady clock's."""
     if record.spec is None:
         return None
@@ -234,7 +235,7 @@
 
     def saw(self, now: float, key: str, raw: bytes | None, version: int) -> tuple[Job | None, bool]:
         """Take in a change; returns the job it concerns and whether it is over."""
-        job_id = key[len(LIVE):]
+        job_id = key[len(LIVE) :]
         job = self.jobs.get(job_id)
         if raw is None:
             if job is not None and version >= job.version:
--- a/src/copperpass/core/landlord.py
+++ b/src/copperpass/core/landlord.py
@@ -63,8 +63,11 @@
     def spare(self) -> bool:
         """Whether it could be used elsewhere or returned now."""
         return (
-            self.status.idle and self.status.settled and not self.releasing
-            and not self.status.release and not self.entry.failed
+            self.status.idle
+            and self.status.settled
+            and not self.releasing
+            and not self.status.release
+            and not self.entry.failed
         )
 
 
@@ -150,9 +153,16 @@
         self.passed_at = now
         state = cluster.state
         self.roster = Roster(
-            ledger, self.token_version, state.value_kb * 1024, 4 / state.least_write_rps,
-            cluster.workers.lease_s, state.least_value_bytes, state.least_txn_ops, proven,
-            state.next is not None)
+            ledger,
+            self.token_version,
+            state.value_kb * 1024,
+            4 / state.least_write_rps,
+            cluster.workers.lease_s,
+            state.least_value_bytes,
+            state.least_txn_ops,
+            proven,
+            state.next is not None,
+        )
         self.saw_fleet(fleet)
         self.roster.on_stored = self._marked_up
         self.paged = self.roster.paged
@@ -168,7 +178,8 @@
         # Urgent work that may use ordinary machines only, by pool: now, its peak, what there is.
         self.ordinary_left: dict[int, float] = {}
         self.ordinary_peaks = {
-            n: rental.Peak(tuning.warm_window_boots * self.boot_s) for n in self.pools}
+            n: rental.Peak(tuning.warm_window_boots * self.boot_s) for n in self.pools
+        }
         self.ordinary_have: dict[int, float] = {}
         self.calls = Budget(0.9 * cluster.cloud.rps, max(1.8 * cluster.cloud.rps, 2.0))
         self.dear_excess = True
@@ -230,12 +241,28 @@
         self.handover += 1
         return base_token(self.epoch, self.handover)
 
-    def _add(self, now: float, name: str, place: Place, pool: int, may_hold: int,
-             contact: Contact | None = None) -> Held:
+    def _add(
+        self,
+        now: float,
+        name: str,
+        place: Place,
+        pool: int,
+        may_hold: int,
+        contact: Contact | None = None,
+    ) -> Held:
         recorded = name in self.roster.stored
         base = self._next_base()
-        entry = Entry(name, place[0], place[1], place[2], pool, base,
-                      may_hold if recorded else EMPTY, recorded, contact=contact)
+        entry = Entry(
+            name,
+            place[0],
+            place[1],
+            place[2],
+            pool,
+            base,
+            may_hold if recorded else EMPTY,
+            recorded,
+            contact=contact,
+        )
         held = Held(entry, self.types[place[0]], now, Status(name, base))
         self.machines[name] = held
         self.table.put(entry)
@@ -270,14 +297,22 @@
             granted = max(self.authority.granted_until, tenant.granted_until)
             self.authority.granted_until = granted
         return peer.Grant(
-            self.epoch, pull.incarnation, pull.number, int(length * 1000), self.token_version(),
-            self.dear_excess, tenant.inbox.applied, self.shares())
+            self.epoch,
+            pull.incarnation,
+            pull.number,
+            int(length * 1000),
+            self.token_version(),
+            self.dear_excess,
+            tenant.inbox.applied,
+            self.shares(),
+        )
 
     def shares(self) -> tuple[peer.Share, ...]:
         """Who owns what."""
         return tuple(
             peer.Share(p.number, p.owner, p.serial, p.revision, p.at)
-            for p in self.pools.values() if p.owner
+            for p in self.pools.values()
+            if p.owner
         )
 
     def _disown(self, now: float, pool: Pool, free_at: float) -> None:
@@ -292,28 +327,42 @@
                     may_hold = OWN_POOL
                 self._rebase(now, held, pool.number, may_hold)
 
-    def _rebase(self, now: float, held: Held, pool: int, may_hold: int,
-                status: Status | None = None) -> None:
+    def _rebase(
+        self, now: float, held: Held, pool: int, may_hold: int, status: Status | None = None
+    ) -> None:
         """Change who commands a machine, under a higher token."""
         base = self._next_base()
         held.back_for, held.back_until = None, 0.0
         proven = status is not None and may_hold == EMPTY and status.contact is not None
         contact = status.contact if status is not None and proven else held.entry.contact
         held.status = Status(held.entry.name, base, up=held.status.up)
-        self._set(held, pool=pool, base=base, may_hold=may_hold, back=False, vacate=False,
-                  proven=proven, contact=contact)
+        self._set(
+            held,
+            pool=pool,
+            base=base,
+            may_hold=may_hold,
+            back=False,
+            vacate=False,
+            proven=proven,
+            contact=contact,
+        )
         self.added[pool] = self.table.seq
 
     def wait_out(self, before: Landlord) -> None:
         """Give no pool while a grant of one's own earlier term may run."""
-        until = max((t.granted_until for n, t in before.tenants.items() if n != self.member),
-                    default=float("-inf"))
+        until = max(
+            (t.granted_until for n, t in before.tenants.items() if n != self.member),
+            default=float("-inf"),
+        )
         for pool in self.pools.values():
             pool.free_at = max(pool.free_at, until)
 
     def _live(self, now: float) -> list[str]:
-        return [name for name, t in self.tenants.items()
-                if name == self.member or now - t.heard < 0.75 * self.grant_s]
+        return [
+            name
+            for name, t in self.tenants.items()
+            if name == self.member or now - t.heard < 0.75 * self.grant_s
+        ]
 
     def _share_out(self, now: float) -> None:
         """Give pools without an owner to live members, those with the fewest first."""
@@ -331,8 +380,7 @@
             else:
                 loads = {n: sum(p.owner == n for p in self.pools.values()) for n in live}
                 before = self.owners.get(pool.number)
-                chosen = min(live, key=lambda n: (
-                    loads[n], n == self.member, n != before, n))
+                chosen = min(live, key=lambda n: (loads[n], n == self.member, n != before, n))
             self.serial += 1
             # Kept for it until it has had time to ask.
             tenant = self.tenants[chosen]
@@ -382,9 +430,16 @@
                 if applied is not None:
                     pool.revision = applied.revision
 
-        self.out.calls.append(Call(
-            "state", "POST", wire.PATH_TXN, then,
-            wire.transaction({TOKEN: self.token_version()}, []), self.authority.ttl / 3))
+        self.out.calls.append(
+            Call(
+                "state",
+                "POST",
+                wire.PATH_TXN,
+                then,
+                wire.transaction({TOKEN: self.token_version()}, []),
+                self.authority.ttl / 3,
+            )
+        )
 
     # -- what owners tell -----------------------------------------------------------------
 
@@ -421,9 +476,7 @@
         if status.given:
             self._given(now, held, status)
             return
-        if held.entry.back and not held.entry.vacate and (
-            not status.idle or now > held.back_until
-        ):
+        if held.entry.back and not held.entry.vacate and (not status.idle or now > held.back_until):
             held.back_for = None
             self._set(held, back=False)
         if status.release and not held.releasing:
@@ -497,6 +550,7 @@
 
     def _neediest(self) -> int:
         """The pool whose tasks have the least room for their number."""
+
         def pressure(pool: Pool) -> tuple[float, int]:
             want = sum(n * job.spec.cpus for job, n, _ in pool.wants)
             return (-want, pool.number)
@@ -518,8 +572,10 @@
             return
         for pool in self.pools.values():
             tenant = self.tenants.get(pool.owner)
-            if pool.owner and pool.owner != self.member and (
-                tenant is None or now > tenant.granted_until
+            if (
+                pool.owner
+                and pool.owner != self.member
+                and (tenant is None or now > tenant.granted_until)
             ):
                 self._disown(now, pool, now)
             if pool.owner and pool.revision == UNKNOWN_REVISION:
@@ -558,8 +614,11 @@
     # -- rental ------------------------------------------------------------------------------
 
     def _serving(self) -> list[Held]:
-        return [h for h in self.machines.values()
-                if not h.releasing and not h.status.release and not h.entry.failed]
+        return [
+            h
+            for h in self.machines.values()
+            if not h.releasing and not h.status.release and not h.entry.failed
+        ]
 
     def _demand(self, now: float) -> tuple[float, dict[int, float]]:
         """CPUs of work that can't wait for a boot, in all and by pool."""
@@ -641,7 +700,11 @@
             self.ordinary_have[held.entry.pool] -= held.type.cpus
 
     def _gang_zone(
-        self, now: float, spec: wire.Spec, count: int, rooms: list[rental.Room],
+        self,
+        now: float,
+        spec: wire.Spec,
+        count: int,
+        rooms: list[rental.Room],
         spare: list[Held],
     ) -> str | None:
         """The zone where most of a gang's tasks find room already and the rest can be rented."""
@@ -650,9 +713,12 @@
         for room in offers:
             slots[room.zone] = slots.get(room.zone, 0) + room.slots(spec, count, self.boot_s)
         for zone in sorted(slots, key=lambda z: (-slots[z], z)):
-            if slots[zone] > 0 and (slots[zone] >= count or rental.choose_place(
-                spec, 1, self.types, {}, self.refusals, now, False, set(), zone
-            )):
+            if slots[zone] > 0 and (
+                slots[zone] >= count
+                or rental.choose_place(
+                    spec, 1, self.types, {}, self.refusals, now, False, set(), zone
+                )
+            ):
                 return zone
         return None
 
@@ -680,15 +746,18 @@
                 continue
             cap = min(tasks, team.cpus_max * tasks / cpus) if cpus > 0 else tasks
             weight = team.gpus if gpus_matter and team.gpus > 0 else team.cpus
-            claims.append(allocation.Claim(
-                team.name, (cpus / tasks, other / tasks), max(weight, 1e-3), cap))
-        return allocation.allocate(claims, (
-            sum(h.type.cpus for h in serving),
-            sum(h.type.gpus if gpus_matter else h.type.memory_gb for h in serving)))
-
-    def _fullness(
-        self, pool: Pool, serving: list[Held], mixes: dict[str, list[float]]
-    ) -> float:
+            claims.append(
+                allocation.Claim(team.name, (cpus / tasks, other / tasks), max(weight, 1e-3), cap)
+            )
+        return allocation.allocate(
+            claims,
+            (
+                sum(h.type.cpus for h in serving),
+                sum(h.type.gpus if gpus_matter else h.type.memory_gb for h in serving),
+            ),
+        )
+
+    def _fullness(self, pool: Pool, serving: list[Held], mixes: dict[str, list[float]]) -> float:
         """A pool's machines as a part of its allocation: the furthest below comes first."""
         have = sum(h.type.cpus for h in serving if h.entry.pool == pool.number)
         mine = [mixes[t] for t in pool.teams if t in mixes]
@@ -699,21 +768,33 @@
         return have / target if target > 0 else float("inf")
 
     def _serve_wants(
-        self, now: float, pool: Pool, serving: list[Held],
-        wanted: dict[tuple[Place, int], int], zones: dict[str, int], rent: bool = True,
+        self,
+        now: float,
+        pool: Pool,
+        serving: list[Held],
+        wanted: dict[tuple[Place, int], int],
+        zones: dict[str, int],
+        rent: bool = True,
     ) -> None:
         """Find room for what a pool's owner has none for: idle machines first, then new ones."""
         if now - pool.wants_at > 2 * self.report_s:
             return
         rooms = [
             rental.new_room(self.types[place[0]], place)
-            for place, count, number in self.renting.values() if number == pool.number
+            for place, count, number in self.renting.values()
+            if number == pool.number
             for _ in range(count)
         ]
         coming = [h for h in serving if h.back_for == pool.number and h.entry.back]
         rooms += [rental.new_room(h.type, h.place) for h in coming]
-        spare = [h for h in serving if h.spare and h.entry.pool != pool.number
-                 and not h.entry.back and h.entry.pool != UNPOOLED]
+        spare = [
+            h
+            for h in serving
+            if h.spare
+            and h.entry.pool != pool.number
+            and not h.entry.back
+            and h.entry.pool != UNPOOLED
+        ]
         spare.sort(key=lambda h: dispatch.price_of(h.type, h.entry.spot) / h.type.cpus)
         cover = self._cover(serving)
         theirs: list[rental.Room] | None = None
@@ -725,8 +806,11 @@
                 # All of it in one zone: what the pool has there, then what is moved or rented. The
                 # owner asks for the whole: only the leader can complete what one zone has.
                 if theirs is None:
-                    theirs = [rental.left_room(h.type, h.place, h.used_cpus)
-                              for h in serving if h.entry.pool == pool.number]
+                    theirs = [
+                        rental.left_room(h.type, h.place, h.used_cpus)
+                        for h in serving
+                        if h.entry.pool == pool.number
+                    ]
                 zone = spec.zone or self._gang_zone(now, spec, count, rooms + theirs, spare)
                 here = [r for r in rooms + theirs if r.zone == zone]
                 left = rental.fill(here, spec, count, horizon, closed)
@@ -734,17 +818,20 @@
                 left = rental.fill(rooms, spec, count, horizon, closed)
             # Work that can wait for longer than a boot asks only for the cheap kind at first.
             # Not for the rest of a gang, for which other machines are kept idle meanwhile.
-            patient = horizon > self.tuning.patient_boots * self.boot_s and spec.spot and (
-                zone is None)
+            patient = (
+                horizon > self.tuning.patient_boots * self.boot_s and spec.spot and (zone is None)
+            )
             for held in list(spare):
                 if left <= 0:
                     break
                 own = held.entry.pool
                 if (zone is not None and held.entry.zone != zone) or not self._may_leave(held):
                     continue
-                if held.type.name in closed or (
-                    patient and self.dear_excess and not held.entry.spot
-                ) or not cover.may_lend(own, pool.number, held.type.cpus):
+                if (
+                    held.type.name in closed
+                    or (patient and self.dear_excess and not held.entry.spot)
+                    or not cover.may_lend(own, pool.number, held.type.cpus)
+                ):
                     continue
                 room = rental.new_room(held.type, held.place)
                 taken = room.take(spec, left, horizon)
@@ -757,7 +844,8 @@
                     self._ask_back(now, held, pool.number)
             while rent and left > 0 and sum(wanted.values()) < 50 and not self.roster.full():
                 place = rental.choose_place(
-                    spec, left, self.types, zones, self.refusals, now, patient, closed, zone)
+                    spec, left, self.types, zones, self.refusals, now, patient, closed, zone
+                )
                 if place is None:
                     break
                 if spec.gang and spec.one_zone:
@@ -773,11 +861,12 @@
             if rent and left > 0 and horizon <= self.boot_s:
                 # Nothing can be rented: what others keep for later serves who needs it now.
                 for held in spare:
-                    if left > 0 and held.type.name not in closed and (
-                        zone in (None, held.entry.zone) and self._may_leave(held)
+                    if (
+                        left > 0
+                        and held.type.name not in closed
+                        and (zone in (None, held.entry.zone) and self._may_leave(held))
                     ):
-                        taken = rental.new_room(held.type, held.place).take(
-                            spec, left, horizon)
+                        taken = rental.new_room(held.type, held.place).take(spec, left, horizon)
                         if taken > 0:
                             left -= taken
                             self._leaves(held)
@@ -786,9 +875,7 @@
             if rent and left > 0 and job.guaranteed and horizon <= self.boot_s:
                 self._reclaim(now, pool, job, left, serving)
 
-    def _reclaim(
-        self, now: float, pool: Pool, job: Job, count: int, serving: list[Held]
-    ) -> None:
+    def _reclaim(self, now: float, pool: Pool, job: Job, count: int, serving: list[Held]) -> None:
         """Give a pool its guarantee out of what another has beyond its own."""
         spec = job.spec
         for other in self.pools.values():
@@ -806,8 +893,13 @@
                     self._ask_back(now, held, pool.number, vacate=True)
 
     def _keep_warm(
-        self, now: float, warm: rental.Warm, serving: list[Held], room: float,
-        wanted: dict[tuple[Place, int], int], zones: dict[str, int],
+        self,
+        now: float,
+        warm: rental.Warm,
+        serving: list[Held],
+        room: float,
+        wanted: dict[tuple[Place, int], int],
+        zones: dict[str, int],
     ) -> None:
         total = room - self.taken
         total += sum(self.types[p[0]].cpus * n for p, n, _ in self.renting.values())
@@ -817,7 +909,8 @@
         for cpus, spot_only in ((warm.any, False), (warm.cheap, True)):
             while total < cpus and sum(wanted.values()) < 50 and not self.roster.full():
                 place = rental.choose_place(
-                    None, 1, self.types, zones, self.refusals, now, spot_only, dear)
+                    None, 1, self.types, zones, self.refusals, now, spot_only, dear
+                )
                 if place is None:
                     break
                 total += self.types[place[0]].cpus
@@ -829,8 +922,12 @@
             self._keep_ordinary(now, number, serving, wanted, dear)
 
     def _keep_ordinary(
-        self, now: float, number: int, serving: list[Held],
-        wanted: dict[tuple[Place, int], int], closed: set[str],
+        self,
+        now: float,
+        number: int,
+        serving: list[Held],
+        wanted: dict[tuple[Place, int], int],
+        closed: set[str],
     ) -> None:
         """Rent ordinary room for a pool's urgent work that may use no other.
 
@@ -853,8 +950,17 @@
             found: Place | None = None
             for within in dict.fromkeys((most, None)):
                 found = found or rental.choose_place(
-                    None, 1, self.types, {}, self.refusals, now, False, closed, within,
-                    dear_only=True)
+                    None,
+                    1,
+                    self.types,
+                    {},
+                    self.refusals,
+                    now,
+                    False,
+                    closed,
+                    within,
+                    dear_only=True,
+                )
             if found is None:
                 break
             zones[found[1]] = zones.get(found[1], 0.0) + self.types[found[0]].cpus
@@ -884,8 +990,11 @@
             if cover.of(short) >= 1.0:
                 break
             spare = held.spare and not held.entry.back and own in cover.have and own != short
-            if spare and held.type.name not in scarce and self._may_leave(held) and (
-                cover.may_lend(own, short, held.type.cpus)
+            if (
+                spare
+                and held.type.name not in scarce
+                and self._may_leave(held)
+                and (cover.may_lend(own, short, held.type.cpus))
             ):
                 self._leaves(held)
                 cover.move(own, short, held.type.cpus)
@@ -896,8 +1005,11 @@
         serving = self._serving()
         total = sum(h.type.cpus for h in serving) - self.taken
         idle_s = self.tuning.idle_boots * self.boot_s
-        idle = [h for h in serving if h.spare and not h.entry.back
-                and now - max(h.idle_since, h.up_at) >= idle_s]
+        idle = [
+            h
+            for h in serving
+            if h.spare and not h.entry.back and now - max(h.idle_since, h.up_at) >= idle_s
+        ]
         idle.sort(key=lambda h: -dispatch.price_of(h.type, h.entry.spot) / h.type.cpus)
         for held in idle:
             beyond = total - held.type.cpus >= (warm.cheap if held.entry.spot else warm.any)
@@ -919,10 +1031,14 @@
             sums[2] += h.status.idle
         factors = self.allocations.factors if self.allocations else (0.0, 0.0)
         self.out.log(
-            "info", "fleet", warm=round(warm), tight=round(tight),
+            "info",
+            "fleet",
+            warm=round(warm),
+            tight=round(tight),
             machines={k: [round(x) for x in v] for k, v in sorted(kinds.items())},
             owners={p.number: p.owner for p in self.pools.values()},
-            factors=[round(f, 3) for f in factors])
+            factors=[round(f, 3) for f in factors],
+        )
 
     def _rent(self, now: float, place: Place, count: int, pool: int) -> None:
         self.booking += 1
@@ -971,8 +1087,9 @@
             return
         for held in machines:
             held.releasing = True
-        waiting = [h for h in self.machines.values()
-                   if h.releasing and now - h.release_sent > 2.0][:100]
+        waiting = [h for h in self.machines.values() if h.releasing and now - h.release_sent > 2.0][
+            :100
+        ]
         if not waiting or not self.calls.take(now, 1.0):
             return
         for held in waiting:
--- a/src/copperpass/core/ledger.py
+++ b/src/copperpass/core/ledger.py
@@ -11,7 +11,11 @@
 from copperpass.core.ports import NO_ANSWER, NOT_SENT, Call, Outbox, Outcome
 
 APPLIED, CONFLICT, UNAVAILABLE, UNKNOWN, INVALID = (
-    "applied", "conflict", "unavailable", "unknown", "invalid"
+    "applied",
+    "conflict",
+    "unavailable",
+    "unknown",
+    "invalid",
 )
 OpThen = Callable[[float, str, int], None]
 
@@ -167,9 +171,12 @@
         self.in_flight += 1
         self.out.calls.append(
             Call(
-                "state", "POST", wire.PATH_TXN,
+                "state",
+                "POST",
+                wire.PATH_TXN,
                 lambda now, outcome: self._done(now, batch, outcome),
-                wire.transaction(guards, writes), self.timeout,
+                wire.transaction(guards, writes),
+                self.timeout,
             )
         )
 
--- a/src/copperpass/core/node.py
+++ b/src/copperpass/core/node.py
@@ -41,7 +41,11 @@
     """Takes inputs; leaves calls, replies and log lines in its outbox."""
 
     def __init__(
-        self, settings: Settings, seed: int, now: float, tuning: Tuning | None = None,
+        self,
+        settings: Settings,
+        seed: int,
+        now: float,
+        tuning: Tuning | None = None,
         day: float = 0.0,
     ) -> None:
         cluster = settings.cluster
@@ -64,13 +68,25 @@
         self.pools = pools_of(cluster, self.tuning)
         parted = len(set(self.pools.values())) > 1
         self.authority = Authority(
-            settings.name, [m.name for m in settings.members], self.times, self.out,
-            self.ledger, self.rng, self._authority_changed, now, lambda: self.view.fresh_at,
+            settings.name,
+            [m.name for m in settings.members],
+            self.times,
+            self.out,
+            self.ledger,
+            self.rng,
+            self._authority_changed,
+            now,
+            lambda: self.view.fresh_at,
             GRANT_PER_TTL * self.ttl if parted else 0.0,
         )
         self.members = Versions(
-            settings.name, [m.name for m in settings.members], self.out, self.ledger, self.ttl,
-            timeout)
+            settings.name,
+            [m.name for m in settings.members],
+            self.out,
+            self.ledger,
+            self.ttl,
+            timeout,
+        )
         self.relay = Relay(self.out, cluster.workers.lease_s, cluster.workers.report_s)
         self.view = View(self.out, self._saw, self.ttl / 2, timeout)
         self.now = now
@@ -82,9 +98,15 @@
         self.next_beat = now
         self.next_counts = now
         self.holder = Holder(
-            settings.name, self.rng.getrandbits(62) + 1, self.ttl,
-            cluster.workers.report_s / 4, self.out, self._make_owner, self.authority.fresh_until,
-            self.proven)
+            settings.name,
+            self.rng.getrandbits(62) + 1,
+            self.ttl,
+            cluster.workers.report_s / 4,
+            self.out,
+            self._make_owner,
+            self.authority.fresh_until,
+            self.proven,
+        )
         self.landlord: Landlord | None = None
         self.types: dict[str, wire.MachineType] = {}
         self.next_types = 0.0
@@ -114,8 +136,10 @@
         self._mind_leader(now)
         landlord = self.landlord
         if landlord is not None:
-            if not landlord.ready and self.view.revision >= self.authority.win_revision and (
-                self.types
+            if (
+                not landlord.ready
+                and self.view.revision >= self.authority.win_revision
+                and (self.types)
             ):
                 landlord.begin(now)
             landlord.tick(now)
@@ -141,8 +165,10 @@
             feed = tenant.feed
             while feed is not None and feed.sent < landlord.table.seq:
                 before, upto, entries = feed.next(BATCH)
-                self.out.send(member, peer.Entries(
-                    landlord.epoch, tenant.incarnation, before, upto, tuple(entries)))
+                self.out.send(
+                    member,
+                    peer.Entries(landlord.epoch, tenant.incarnation, before, upto, tuple(entries)),
+                )
 
     def received(self, now: float, sender: str, frame: peer.Frame) -> None:
         """A frame from another controller."""
@@ -202,8 +228,9 @@
             return
         if owner is not None and not linked:
             # The worker would hardly fare better: another member may reach the owner.
-            owner = next((m for m in self.authority.others
-                          if m != owner and self._linked(now, m)), None)
+            owner = next(
+                (m for m in self.authority.others if m != owner and self._linked(now, m)), None
+            )
         self.out.replies.append(Reply(request, 421, wire.referral(owner)))
 
     def _linked(self, now: float, member: str) -> bool:
@@ -312,7 +339,7 @@
         elif key.startswith(LIVE):
             job, over = self.jobs.saw(now, key, raw, version)
             if raw is None:
-                self.desk.note_removed(key[len(LIVE):])
+                self.desk.note_removed(key[len(LIVE) :])
             for owner in self.owners:
                 if over and job is not None:
                     owner.job_over(now, job)
@@ -336,9 +363,22 @@
         hints = {**holder.hints, **holder.directory}
         owned = {**holder.owned_before, **{n: s.member for n, s in holder.shares.items()}}
         self.landlord = Landlord(
-            self.cluster, self.out, self.ledger, self.jobs, self.types, self.authority, self.fleet,
-            self.pools, hints, owned, holder.incarnation, self._linked, now, self.tuning,
-            self.members.all_proven)
+            self.cluster,
+            self.out,
+            self.ledger,
+            self.jobs,
+            self.types,
+            self.authority,
+            self.fleet,
+            self.pools,
+            hints,
+            owned,
+            holder.incarnation,
+            self._linked,
+            now,
+            self.tuning,
+            self.members.all_proven,
+        )
         if continued and before is not None:
             # Members follow the new token, so they need a term under it. The grants of the term
             # before have not ended with an authority that goes on: they are waited out.
@@ -348,11 +388,24 @@
     def _make_owner(self, share: peer.Share) -> Owner:
         holder = self.holder
         return Owner(
-            self.cluster, self.out, self.ledger, self.jobs, self.types, self.versions,
-            pool=share.pool, pools=self.pools, epoch=holder.epoch, serial=share.serial,
-            revision=share.revision, token_version=lambda: holder.token_version,
-            entitled=holder.entitled, now=self.now, tuning=self.tuning, images=holder.images,
-            fresh_at=lambda: self.view.fresh_at)
+            self.cluster,
+            self.out,
+            self.ledger,
+            self.jobs,
+            self.types,
+            self.versions,
+            pool=share.pool,
+            pools=self.pools,
+            epoch=holder.epoch,
+            serial=share.serial,
+            revision=share.revision,
+            token_version=lambda: holder.token_version,
+            entitled=holder.entitled,
+            now=self.now,
+            tuning=self.tuning,
+            images=holder.images,
+            fresh_at=lambda: self.view.fresh_at,
+        )
 
     def _mind_isolation(self, now: float, landlord: Landlord) -> None:
         """Step down when neither workers nor other controllers can be heard.
@@ -364,8 +417,11 @@
         up = any(h.status.up or h.entry.recorded for h in landlord.machines.values())
         heard = max([landlord.won_at, *(owner.last_report for owner in self.owners)])
         alone = not any(now - at < self.ttl for at in self.peer_heard.values())
-        if up and alone and now - heard > max(2.5 * self.cluster.workers.report_s, self.ttl) and (
-            self.authority.others and self.alone_token != self.authority.token - 1
+        if (
+            up
+            and alone
+            and now - heard > max(2.5 * self.cluster.workers.report_s, self.ttl)
+            and (self.authority.others and self.alone_token != self.authority.token - 1)
         ):
             self.alone_token = self.authority.token
             self.authority.step_down(now, "nobody heard", self.cluster.workers.lease_s)
@@ -387,7 +443,8 @@
         if self.owners and now >= self.next_counts:
             self.next_counts = now + 1.0
             counts = {
-                j: job.shown() for j, job in self.jobs.jobs.items()
+                j: job.shown()
+                for j, job in self.jobs.jobs.items()
                 if job.shown() and self.pools.get(job.spec.team, 0) in self.holder.owners
             }
             for other in self.authority.others:
@@ -431,7 +488,11 @@
         self.ledger.submit(
             now,
             # Written once: a late copy must not bring an older offer back.
-            Op({TOKEN: self.authority.win_revision, TYPES: 0},
-               [wire.put(TYPES, msgspec.to_builtins(offer))],
-               then, now + self.ttl, GATHERED),
+            Op(
+                {TOKEN: self.authority.win_revision, TYPES: 0},
+                [wire.put(TYPES, msgspec.to_builtins(offer))],
+                then,
+                now + self.ttl,
+                GATHERED,
+            ),
         )
--- a/src/copperpass/core/owner.py
+++ b/src/copperpass/core/owner.py
@@ -139,12 +139,14 @@
         # A worker that loses its way is back, over another node, after this long at most: to delete
         # its machine sooner would cost its tasks.
         self.lost_s = max(
-            1.5 * self.silence, 1.25 * self.report_s + wire.REPORT_WAIT_S + 3 * wire.NEXT_NODE_S)
+            1.5 * self.silence, 1.25 * self.report_s + wire.REPORT_WAIT_S + 3 * wire.NEXT_NODE_S
+        )
         self.last_report = now
         # Orders that are being sent straight to workers, and how many may be at once.
         self.directs = 0
-        self.most_directs = max(8, cluster.resources.max_connections // (8 * len(set(
-            pools.values()))))
+        self.most_directs = max(
+            8, cluster.resources.max_connections // (8 * len(set(pools.values())))
+        )
         self.allocations: allocation.Allocation | None = None
         self.recent: dict[str, deque[tuple[float, float, float]]] = {
             t.name: deque(maxlen=64) for t in self.teams
@@ -162,9 +164,16 @@
         self.by_team = {t.name: t for t in self.teams}
         state = cluster.state
         self.progress = Progress(
-            jobs, ledger, token_version, versions, pool, 0.8 * state.least_value_bytes,
-            max(self.report_s / 2, 4 / state.least_write_rps), cluster.workers.lease_s,
-            0.8 * state.value_kb * 1024)
+            jobs,
+            ledger,
+            token_version,
+            versions,
+            pool,
+            0.8 * state.least_value_bytes,
+            max(self.report_s / 2, 4 / state.least_write_rps),
+            cluster.workers.lease_s,
+            0.8 * state.value_kb * 1024,
+        )
         self.gpus_matter = cluster.gpus_matter
         for job in jobs.jobs.values():
             if job.spec.team in self.by_team:
@@ -251,9 +260,18 @@
         """The leader wants a machine for others: give it back if it is proven empty."""
         if machine.empty() and machine.settled and machine.deaf_since is None:
             contact = Contact(machine.address, machine.session, machine.seq)
-            self._part(machine, Status(
-                machine.name, machine.base, up=True, settled=True, idle=True, given=True,
-                contact=contact))
+            self._part(
+                machine,
+                Status(
+                    machine.name,
+                    machine.base,
+                    up=True,
+                    settled=True,
+                    idle=True,
+                    given=True,
+                    contact=contact,
+                ),
+            )
         elif vacate:
             machine.vacating = True
             for p in list(machine.starts):
@@ -288,15 +306,27 @@
             settled = m.settled and not m.foreign
             last = m.told
             if (
-                last is None or last.base != m.base or last.up != m.up or last.idle != idle
-                or last.settled != settled or last.release != m.releasing
-                or last.used_cpus != m.used_cpus or m.told_session != m.session
+                last is None
+                or last.base != m.base
+                or last.up != m.up
+                or last.idle != idle
+                or last.settled != settled
+                or last.release != m.releasing
+                or last.used_cpus != m.used_cpus
+                or m.told_session != m.session
             ):
                 contact = Contact(m.address, m.session, 0) if m.address and m.up else None
                 m.told_session = m.session
                 m.told = Status(
-                    m.name, m.base, m.up, settled, idle, release=m.releasing,
-                    used_cpus=m.used_cpus, contact=contact)
+                    m.name,
+                    m.base,
+                    m.up,
+                    settled,
+                    idle,
+                    release=m.releasing,
+                    used_cpus=m.used_cpus,
+                    contact=contact,
+                )
                 told.append(m.told)
         return told
 
@@ -437,8 +467,9 @@
         if len(foreign) == len(machine.tasks) and not machine.do_in_flight:
             pool = next((p.pool for p in foreign if p.pool != UNPOOLED), UNPOOLED)
             if pool != UNPOOLED:
-                self._part(machine, Status(
-                    machine.name, machine.base, up=True, given=True, pool=pool))
+                self._part(
+                    machine, Status(machine.name, machine.base, up=True, given=True, pool=pool)
+                )
                 return
         for p in foreign:
             if p.active and p.stop is None:
@@ -473,7 +504,19 @@
     def _adopt(self, now: float, machine: Machine, key: tuple[str, int, int]) -> Placement:
         """A task of an earlier authority."""
         p = Placement(
-            key[0], key[1], key[2], machine.name, GHOST, "", 0, 0.0, 0.0, 0.0, "", 0.0, seen=True,
+            key[0],
+            key[1],
+            key[2],
+            machine.name,
+            GHOST,
+            "",
+            0,
+            0.0,
+            0.0,
+            0.0,
+            "",
+            0.0,
+            seen=True,
             sent_at=now,
         )
         machine.tasks[key] = p
@@ -528,8 +571,10 @@
         """
         if self.ready or now - self.fresh_at() < self.lease_s / 4:
             return False
-        return any(p.team == GHOST and p.active and not p.foreign and p.stop is None
-                   for p in machine.tasks.values())
+        return any(
+            p.team == GHOST and p.active and not p.foreign and p.stop is None
+            for p in machine.tasks.values()
+        )
 
     def _update(self, now: float, machine: Machine, p: Placement, task: wire.TaskReport) -> None:
         was_active = p.active
@@ -555,15 +600,23 @@
         machine.stale = True
         if p.why != wire.WHY_DONE:
             self.out.log(
-                "debug", "task ended", task=task.task, why=p.why, asked=p.stopping_for,
-                machine=machine.name, ran=round(now - p.running_at, 1) if p.running_at else 0,
+                "debug",
+                "task ended",
+                task=task.task,
+                why=p.why,
+                asked=p.stopping_for,
+                machine=machine.name,
+                ran=round(now - p.running_at, 1) if p.running_at else 0,
             )
         if p.team == GHOST and job is None:
             p.stored = self._knows_over(p)
             return
         self.dirty = True
-        mine = job is not None and job.placed.get(p.index) == machine.name and (
-            self._alone(machine, p))
+        mine = (
+            job is not None
+            and job.placed.get(p.index) == machine.name
+            and (self._alone(machine, p))
+        )
         if job is None:
             p.stored = True
             return
@@ -616,8 +669,9 @@
             return
         if p.attempt == job.attempt and not job.ending:
             refused = p.why in (wire.WHY_NO_ROOM, wire.WHY_BUSY, wire.WHY_UNKNOWN)
-            waiting = not job.begun and (refused or p.stop is not None or (
-                p.why == wire.WHY_ERROR and not p.running_at))
+            waiting = not job.begun and (
+                refused or p.stop is not None or (p.why == wire.WHY_ERROR and not p.running_at)
+            )
             if not waiting:
                 # Whatever the rest does now, it can't complete under this attempt.
                 self._end_gang(now, job, p.why, 0.0)
@@ -659,8 +713,10 @@
         """Whether all tasks of a gang can be told to stop within the time that saving takes."""
         for name in job.placed.values():
             machine = self.machines.get(name)
-            if machine is None or machine.deaf_since is not None or (
-                now - machine.last_report > min(self.silence, self.gang_notice_s)
+            if (
+                machine is None
+                or machine.deaf_since is not None
+                or (now - machine.last_report > min(self.silence, self.gang_notice_s))
             ):
                 return False
         return True
@@ -673,7 +729,8 @@
         """
         return not any(
             q is not p and q.active and q.index == p.index and q.job_id == p.job_id
-            for q in machine.tasks.values())
+            for q in machine.tasks.values()
+        )
 
     def _failed(self, now: float, machine: Machine, job: Job) -> None:
         """Tell a sick machine (many jobs fail there) from a job with a mistake."""
@@ -684,8 +741,11 @@
             # Guards the fleet against a job that fails everywhere: back off, longer each time.
             wait = self.report_s * 2 ** min(job.failures, 6)
             job.hold_until = max(job.hold_until, now + min(wait, self.lease_s))
-        suspects = [j for j in machine.errors if j in self.jobs.jobs
-                    and len(self.jobs.jobs[j].failed_on) <= 2]
+        suspects = [
+            j
+            for j in machine.errors
+            if j in self.jobs.jobs and len(self.jobs.jobs[j].failed_on) <= 2
+        ]
         # A gang that fails here alone, again, while its other machines do well, finds nowhere else
         # to go: it is the machine. One with a mistake fails on others too.
         alone = job.spec.gang and job.failures >= 2 and job.failed_on == {machine.name}
@@ -711,8 +771,11 @@
             if not p.active or p.stop is not None:
                 continue
             job = self.jobs.jobs.get(p.job_id)
-            if job is not None and job.spec.gang and job.begun and (
-                job.spec.save_s > left or not self._gang_reached(now, job)
+            if (
+                job is not None
+                and job.spec.gang
+                and job.begun
+                and (job.spec.save_s > left or not self._gang_reached(now, job))
             ):
                 # It can't be saved in time: to run on may still complete it.
                 continue
@@ -783,15 +846,19 @@
     def _send_direct(self, now: float, machine: Machine) -> None:
         """Send starts and stops at once, one request at a time for each machine."""
         if (
-            machine.do_in_flight or not machine.address or machine.session == 0
+            machine.do_in_flight
+            or not machine.address
+            or machine.session == 0
             or now < max(machine.do_broken_until, machine.handed_until)
-            or not self.entitled(now) or machine.releasing
+            or not self.entitled(now)
+            or machine.releasing
             # Beyond the sockets that are kept for this, orders go with answers to reports.
             or self.directs >= self.most_directs
         ):
             return
         stops = [
-            p for p in machine.tasks.values()
+            p
+            for p in machine.tasks.values()
             if p.active and p.seen and p.stop is not None and p.stop_sent == 0.0
         ]
         if stops or machine.starts:
@@ -813,9 +880,13 @@
         body = wire.encode(wire.Direct(machine.token, max(1, machine.session), commands))
         self.out.calls.append(
             Call(
-                "worker", "POST", wire.PATH_DO,
+                "worker",
+                "POST",
+                wire.PATH_DO,
                 lambda n, o: self._sent_direct(n, o, machine, starts, bool(commands)),
-                body, self.report_s / 2 + 0.25, machine.address,
+                body,
+                self.report_s / 2 + 0.25,
+                machine.address,
             )
         )
 
@@ -831,15 +902,22 @@
                 break
             machine = self.machines[name]
             if (
-                machine.settled or machine.do_in_flight or machine.releasing
-                or not machine.address or now < max(machine.next_probe, machine.handed_until)
+                machine.settled
+                or machine.do_in_flight
+                or machine.releasing
+                or not machine.address
+                or now < max(machine.next_probe, machine.handed_until)
             ):
                 continue
             machine.next_probe = now + self.report_s
             self._direct(now, machine, [], [])
 
     def _sent_direct(
-        self, now: float, outcome: Outcome, machine: Machine, starts: list[Placement],
+        self,
+        now: float,
+        outcome: Outcome,
+        machine: Machine,
+        starts: list[Placement],
         orders: bool,
     ) -> None:
         machine.do_in_flight = False
@@ -1026,10 +1104,13 @@
         # Tasks of a job from before our time may still run where we have not looked yet, but only
         # on machines that the job allows and that can hold one of its tasks.
         return not any(
-            kind not in self.types or (
+            kind not in self.types
+            or (
                 allows(job.spec, self.types[kind], zone, spot)
-                and type_fits(job.spec, self.types[kind]))
-            for kind, zone, spot in self._unseen())
+                and type_fits(job.spec, self.types[kind])
+            )
+            for kind, zone, spot in self._unseen()
+        )
 
     def _unseen(self) -> set[tuple[str, str, bool]]:
         """The kinds of machines that may hold tasks which we have not seen."""
@@ -1087,11 +1168,10 @@
             if job.waiting() > 0 and self._startable(job, now):
                 queues.setdefault(job.spec.team, []).append(job)
         bonus = self.boot_s / 2
-        order = {
-            name: dispatch.task_order(q, self.aims, now, bonus) for name, q in queues.items()
-        }
+        order = {name: dispatch.task_order(q, self.aims, now, bonus) for name, q in queues.items()}
         late_used = sum(
-            len(job.placed) * job.spec.cpus for job in jobs if self.aims.overdue(job, now))
+            len(job.placed) * job.spec.cpus for job in jobs if self.aims.overdue(job, now)
+        )
         late_quota = LATE_PART * capacity[0]
         for queue in order.values():
             dispatch.share_late(queue, self.aims, now, late_used, late_quota)
@@ -1126,8 +1206,10 @@
                 placed = self._place_gang(now, job, roomy, used[name], log)
                 if placed:
                     log += placed
-                    used[name] = (used[name][0] + len(placed) * spec.cpus,
-                                  used[name][1] + len(placed) * spec.gpus)
+                    used[name] = (
+                        used[name][0] + len(placed) * spec.cpus,
+                        used[name][1] + len(placed) * spec.gpus,
+                    )
                     running[name] += len(placed)
                 elif placed is None:
                     if name not in quota and self.aims.due(job, now) - now < self.boot_s:
@@ -1165,10 +1247,17 @@
                 ranking = rankings.get(spec.id)
                 if ranking is None:
                     ranking = rankings[spec.id] = dispatch.Ranking(
-                        job, roomy, self.machines, now,
+                        job,
+                        roomy,
+                        self.machines,
+                        now,
                         closed=set() if left_out else self.scarce.closed_to(spec),
-                        cheap_only=patient, tight=slack < self.boot_s, since=len(log),
-                        kept=self.kept, any_room=left_out)
+                        cheap_only=patient,
+                        tight=slack < self.boot_s,
+                        since=len(log),
+                        kept=self.kept,
+                        any_room=left_out,
+                    )
                 machine = ranking.best(log)
                 if machine is None and shape is not None:
                     full.add(shape)
@@ -1218,7 +1307,11 @@
         return waits and now - job.arrived > KEPT_PART * self.tuning.patience_s
 
     def _place_gang(
-        self, now: float, job: Job, roomy: list[Machine], used: tuple[float, float],
+        self,
+        now: float,
+        job: Job,
+        roomy: list[Machine],
+        used: tuple[float, float],
         log: list[Machine],
     ) -> list[Machine] | None:
         """Start all missing tasks of a gang or none; None: the team's limit has no room for it."""
@@ -1228,16 +1321,26 @@
             used[1] + count * spec.gpus, team.gpus_max
         ):
             return None
-        if any(p.active and p.job_id == spec.id and p.attempt != job.attempt
-               for name in self.where.get(spec.id, ()) if name in self.machines
-               for p in self.machines[name].tasks.values()):
+        if any(
+            p.active and p.job_id == spec.id and p.attempt != job.attempt
+            for name in self.where.get(spec.id, ())
+            if name in self.machines
+            for p in self.machines[name].tasks.values()
+        ):
             # A task of an earlier attempt is not proven gone.
             return None
         left_out = self._left_out(job, now)
         ranking = dispatch.Ranking(
-            job, roomy, self.machines, now,
+            job,
+            roomy,
+            self.machines,
+            now,
             closed=set() if left_out else self.scarce.closed_to(spec),
-            cheap_only=False, tight=True, since=len(log), any_room=left_out)
+            cheap_only=False,
+            tight=True,
+            since=len(log),
+            any_room=left_out,
+        )
         plan = dispatch.plan_gang(ranking, self.machines)
         if plan is None:
             if job.placed:
@@ -1282,9 +1385,14 @@
         Work that needs ordinary room and can't wait for a boot would otherwise find it taken by
         work that could have gone elsewhere; gangs need it in one zone at that, and whole.
         """
-        self.ordinary_peak.add(now, sum(
-            job.spec.cpus * (job.spec.tasks - job.done_count) for job in jobs
-            if rental.needs_ordinary(job, self.aims, self.boot_s)))
+        self.ordinary_peak.add(
+            now,
+            sum(
+                job.spec.cpus * (job.spec.tasks - job.done_count)
+                for job in jobs
+                if rental.needs_ordinary(job, self.aims, self.boot_s)
+            ),
+        )
         need = self.ordinary_peak.value()
         kept: set[str] = set()
         if need > 0:
@@ -1312,9 +1420,19 @@
             job.attempts += 1
             attempt = self._attempt(job)
         p = Placement(
-            spec.id, index, attempt, machine.name, spec.team, spec.job_class,
-            wire.PRIORITIES[spec.priority], spec.cpus, spec.gpus, spec.memory_gb, spec.image,
-            spec.estimate_s, sent_at=now,
+            spec.id,
+            index,
+            attempt,
+            machine.name,
+            spec.team,
+            spec.job_class,
+            wire.PRIORITIES[spec.priority],
+            spec.cpus,
+            spec.gpus,
+            spec.memory_gb,
+            spec.image,
+            spec.estimate_s,
+            sent_at=now,
         )
         machine.tasks[p.key] = p
         self.where.setdefault(spec.id, set()).add(machine.name)
@@ -1326,7 +1444,10 @@
         self.recent[spec.team].append((spec.cpus, spec.gpus, spec.memory_gb))
 
     def _preempt(
-        self, now: float, stuck: list[Job], usable: list[Machine],
+        self,
+        now: float,
+        stuck: list[Job],
+        usable: list[Machine],
         used: dict[str, tuple[float, float]],
     ) -> None:
         """Stop work of lower priority, or borrowed room, for tasks that would miss their aim."""
@@ -1338,15 +1459,19 @@
             if self.aims.due(job, now) - now > self.boot_s:
                 continue
             guaranteed = self.by_team[spec.team].cpus
-            under = bool(over - {spec.team}) and self.aims.guarantee is not None and fits(
-                used[spec.team][0] + spec.cpus, guaranteed
+            under = (
+                bool(over - {spec.team})
+                and self.aims.guarantee is not None
+                and fits(used[spec.team][0] + spec.cpus, guaranteed)
             )
             mine = wire.PRIORITIES[spec.priority]
             if lowest >= mine and not under:
                 continue
             if stopping is None:
                 stopping = sum(
-                    1 for m in self.machines.values() for p in m.tasks.values()
+                    1
+                    for m in self.machines.values()
+                    for p in m.tasks.values()
                     if p.active and p.stop is not None and p.stopping_for == "preempted"
                 )
             budget = (1 if spec.gang else min(job.waiting(), 8)) - stopping
--- a/src/copperpass/core/progress.py
+++ b/src/copperpass/core/progress.py
@@ -58,8 +58,15 @@
     """The writer of the records of ends; one an owner."""
 
     def __init__(
-        self, jobs: JobTable, ledger: Ledger, token_version: Callable[[], int],
-        versions: dict[str, int], pool: int, room: float, gather_s: float, deadline_s: float,
+        self,
+        jobs: JobTable,
+        ledger: Ledger,
+        token_version: Callable[[], int],
+        versions: dict[str, int],
+        pool: int,
+        room: float,
+        gather_s: float,
+        deadline_s: float,
         most_room: float | None = None,
     ) -> None:
         self.jobs, self.ledger, self.token_version = jobs, ledger, token_version
@@ -212,8 +219,9 @@
         found = self.found.get(job_id, {})
         taken = {key for held in self.found.values() for key in held.values()}
         taken |= {p.key for held in self.segments.values() for p in held} | set(self.free)
-        fresh = (key for n in itertools.count()
-                 if (key := f"{self.prefix}{SEGMENT}{n}") not in taken)
+        fresh = (
+            key for n in itertools.count() if (key := f"{self.prefix}{SEGMENT}{n}") not in taken
+        )
         pages = self.segments[job_id] = []
         for offset in range(0, len(job.done), step):
             key = found.get(offset) or (self.free.pop() if self.free else next(fresh))
@@ -248,8 +256,11 @@
                 segment_key(job_id, page.part.start): pack_done(self._mask(page, job))
                 for job_id, job in page.jobs.items()
             }
-        return {job_id: pack_done(self._mask(page, job)) for job_id, job in page.jobs.items()
-                if job.done_count or job.finished}
+        return {
+            job_id: pack_done(self._mask(page, job))
+            for job_id, job in page.jobs.items()
+            if job.done_count or job.finished
+        }
 
     def _noted(self, page: Page) -> dict[str, tuple[Job, set[int]]]:
         """The ends that a write of a page makes certain."""
@@ -295,10 +306,16 @@
                 # Not stored, or not known to be: the watch brings the record's version.
                 page.since = n
 
-        self.ledger.submit(now, Op(
-            {TOKEN: self.token_version(), page.key: version},
-            [wire.put(page.key, self._value(page))], then, now + self.deadline_s, GATHERED,
-        ))
+        self.ledger.submit(
+            now,
+            Op(
+                {TOKEN: self.token_version(), page.key: version},
+                [wire.put(page.key, self._value(page))],
+                then,
+                now + self.deadline_s,
+                GATHERED,
+            ),
+        )
 
     def _arrived(self, page: Page, jobs: set[str]) -> None:
         """A page with these jobs is stored: where they were before may be written without them."""
--- a/src/copperpass/core/rental.py
+++ b/src/copperpass/core/rental.py
@@ -203,8 +203,10 @@
             ]
             slots = min(count, int(min(per) + 1e-6)) if per else count
         for spot in (True, False):
-            if (spot and machine_type.spot_price is None) or (spot_only and not spot) or (
-                dear_only and spot
+            if (
+                (spot and machine_type.spot_price is None)
+                or (spot_only and not spot)
+                or (dear_only and spot)
             ):
                 continue
             price = price_of(machine_type, spot)
@@ -233,7 +235,8 @@
         cpus, gpus, memory = m.room()
         frees = [
             # A gang's task that waits for the others ends after them, not by itself.
-            (remaining(p, now), p.cpus, p.gpus, p.memory_gb) for p in m.tasks.values()
+            (remaining(p, now), p.cpus, p.gpus, p.memory_gb)
+            for p in m.tasks.values()
             if p.active and p.state != wire.GATHERING
         ]
         rooms.append(Room(m.type, m.zone, m.spot, cpus, gpus, memory, frees))
@@ -249,19 +252,31 @@
     return tight or (wait is not None and wait < boot_s)
 
 
-def left_room(
-    machine_type: wire.MachineType, place: Place, used_cpus: float
-) -> Room:
+def left_room(machine_type: wire.MachineType, place: Place, used_cpus: float) -> Room:
     """About what a machine offers beside what runs there; its memory is taken to be as full."""
     part = 1.0 - used_cpus / machine_type.cpus if machine_type.cpus > 0 else 1.0
-    return Room(machine_type, place[1], place[2], machine_type.cpus - used_cpus,
-                machine_type.gpus * part, machine_type.memory_gb * part, [])
+    return Room(
+        machine_type,
+        place[1],
+        place[2],
+        machine_type.cpus - used_cpus,
+        machine_type.gpus * part,
+        machine_type.memory_gb * part,
+        [],
+    )
 
 
 def new_room(machine_type: wire.MachineType, place: Place) -> Room:
     """What an empty machine offers."""
-    return Room(machine_type, place[1], place[2],
-                machine_type.cpus, machine_type.gpus, machine_type.memory_gb, [])
+    return Room(
+        machine_type,
+        place[1],
+        place[2],
+        machine_type.cpus,
+        machine_type.gpus,
+        machine_type.memory_gb,
+        [],
+    )
 
 
 def tied(spec: wire.Spec, zones: Iterable[str]) -> wire.Spec:
@@ -275,9 +290,7 @@
     return spec if zone is None else msgspec.structs.replace(spec, zone=zone)
 
 
-def fill(
-    rooms: list[Room], spec: wire.Spec, count: int, horizon: float, closed: set[str]
-) -> int:
+def fill(rooms: list[Room], spec: wire.Spec, count: int, horizon: float, closed: set[str]) -> int:
     """Give room to tasks that may start within the horizon; returns how many are left."""
     for room in rooms:
         if count <= 0:
@@ -285,5 +298,3 @@
         if room.type.name not in closed:
             count -= room.take(spec, count, horizon)
     return count
-
-
--- a/src/copperpass/core/roster.py
+++ b/src/copperpass/core/roster.py
@@ -46,7 +46,7 @@
 
 def page_number(key: str) -> int | None:
     """The number of a page of the fleet, or None for any other key."""
-    number = key[len(PAGES):]
+    number = key[len(PAGES) :]
     return int(number) if key.startswith(PAGES) and number.isdecimal() else None
 
 
@@ -125,9 +125,16 @@
     """The writer of the fleet's records; one a leader."""
 
     def __init__(
-        self, ledger: Ledger, token_version: Callable[[], int], room: float, gap_s: float,
-        deadline_s: float, least_room: float | None = None, txn_ops: int = 4,
-        proven: Callable[[], bool] = lambda: False, limits_drop: bool = False,
+        self,
+        ledger: Ledger,
+        token_version: Callable[[], int],
+        room: float,
+        gap_s: float,
+        deadline_s: float,
+        least_room: float | None = None,
+        txn_ops: int = 4,
+        proven: Callable[[], bool] = lambda: False,
+        limits_drop: bool = False,
     ) -> None:
         self.ledger, self.token_version = ledger, token_version
         # The room of the one record, and that of a page.
@@ -168,7 +175,9 @@
     # -- what is stored ----------------------------------------------------------------
 
     def load(
-        self, record: wire.FleetRecord | None, version: int,
+        self,
+        record: wire.FleetRecord | None,
+        version: int,
         pages: dict[int, tuple[wire.FleetRecord | None, int]] | None = None,
     ) -> None:
         """Take over what an earlier authority has stored."""
@@ -365,7 +374,8 @@
     def _choose(self, place: Place, item: int, but: Page | None = None) -> Page:
         """The page for a new item: first one that will be written anyway."""
         fitting = [
-            p for p in self.pages.values()
+            p
+            for p in self.pages.values()
             if p is not but and not p.leaving and p.size + p.cost(place, item) <= self.page_room
         ]
         if fitting:
@@ -414,6 +424,7 @@
 
     def _remove_record(self, now: float) -> None:
         """The last step of a move: all pages are stored, so the one record may go."""
+
         def then(n: float, how: str, revision: int) -> None:
             self.writing = False
             if how == APPLIED:
@@ -460,7 +471,8 @@
             self._moved(now)
         until = float("inf") if self.moving else now
         due = sorted(
-            (not p.waits, p.due, p.number) for p in self.pages.values()
+            (not p.waits, p.due, p.number)
+            for p in self.pages.values()
             if p.due is not None and p.due <= until and not p.leaving
         )
         if due:
@@ -509,14 +521,22 @@
             self._written(n, how, revision, waits, marked)
 
         op = Op(
-            {TOKEN: token, FLEET: version}, [wire.put(FLEET, value)], then,
-            now + self.deadline_s, PLAIN,
+            {TOKEN: token, FLEET: version},
+            [wire.put(FLEET, value)],
+            then,
+            now + self.deadline_s,
+            PLAIN,
         )
         self._submit(now, op)
         self.size = op.size
 
     def _written(
-        self, now: float, how: str, revision: int, waits: list[Wait], marked: set[str],
+        self,
+        now: float,
+        how: str,
+        revision: int,
+        waits: list[Wait],
+        marked: set[str],
     ) -> None:
         self.writing = False
         if how == APPLIED:
@@ -533,7 +553,7 @@
                     # The bookings go on once the pages count.
                     self.next_write = now
                     return
-                self.waits = self.waits[len(waits):]
+                self.waits = self.waits[len(waits) :]
         for then in waits:
             then(now, how == APPLIED)
 
--- a/src/copperpass/core/users.py
+++ b/src/copperpass/core/users.py
@@ -28,18 +28,21 @@
         self.status, self.why = status, why
 
 
-def check(
-    spec: wire.Spec, cluster: Cluster, types: dict[str, wire.MachineType]
-) -> None:
+def check(spec: wire.Spec, cluster: Cluster, types: dict[str, wire.MachineType]) -> None:
     """Raise a Verdict when the job is malformed or can never run."""
     if not wire.JOB_ID.match(spec.id):
         raise Verdict(400, "id: not of the form req-000000")
     if not 1 <= spec.tasks <= wire.MAX_TASKS:
         raise Verdict(400, "pages: outside 1..100000")
     amounts = {
-        "cpus": spec.cpus, "cards": spec.gpus, "memory_gb": spec.memory_gb,
-        "size_gb": spec.image_gb, "runtime_s": spec.estimate_s, "proof_s": spec.checkpoint_s,
-        "flush_s": spec.save_s, "edition_s": spec.deadline_s or 0.0,
+        "cpus": spec.cpus,
+        "cards": spec.gpus,
+        "memory_gb": spec.memory_gb,
+        "size_gb": spec.image_gb,
+        "runtime_s": spec.estimate_s,
+        "proof_s": spec.checkpoint_s,
+        "flush_s": spec.save_s,
+        "edition_s": spec.deadline_s or 0.0,
     }
     for name, amount in amounts.items():
         if not math.isfinite(amount) or amount < 0:
@@ -53,9 +56,11 @@
         raise Verdict(422, "a task needs more than the team's limit")
     zones = {
         zone
-        for machine_type in types.values() for zone in machine_type.zones
+        for machine_type in types.values()
+        for zone in machine_type.zones
         if (spec.types is None or machine_type.name in spec.types)
-        and spec.zone in (None, zone) and type_fits(spec, machine_type)
+        and spec.zone in (None, zone)
+        and type_fits(spec, machine_type)
     }
     if not zones:
         raise Verdict(422, "a task fits no allowed machine type")
@@ -84,7 +89,11 @@
     """Answers users; the same on every node, whoever leads."""
 
     def __init__(
-        self, cluster: Cluster, out: Outbox, ledger: Ledger, read_timeout: float,
+        self,
+        cluster: Cluster,
+        out: Outbox,
+        ledger: Ledger,
+        read_timeout: float,
         day: float = 0.0,
     ) -> None:
         # The time of day less the steady clock's.
@@ -160,7 +169,8 @@
             self._answer(request, 404, wire.error("no such job"))
             return
         self.lookup(
-            now, job_id,
+            now,
+            job_id,
             lambda n, record, version: self._tell(request, job_id, record),
             lambda n: self._unavailable(request, "state service not reached"),
         )
--- a/src/copperpass/core/versions.py
+++ b/src/copperpass/core/versions.py
@@ -21,7 +21,12 @@
     """Writes the own key, and reads the others' while it matters."""
 
     def __init__(
-        self, member: str, others: list[str], out: Outbox, ledger: Ledger, gap_s: float,
+        self,
+        member: str,
+        others: list[str],
+        out: Outbox,
+        ledger: Ledger,
+        gap_s: float,
         timeout: float,
     ) -> None:
         self.member, self.members = member, [member, *others]
@@ -63,7 +68,8 @@
                 self._write(now, item.version if item is not None else 0)
 
         self.out.calls.append(
-            Call("state", "GET", wire.path_key(VERSIONS + member), then, b"", self.timeout))
+            Call("state", "GET", wire.path_key(VERSIONS + member), then, b"", self.timeout)
+        )
 
     def _write(self, now: float, version: int) -> None:
         key, member = VERSIONS + self.member, self.member
@@ -76,5 +82,6 @@
                 self.known.add(member)
 
         value = {"version": __version__, "format": FORMAT}
-        self.ledger.submit(now, Op(
-            {key: version}, [wire.put(key, value)], then, now + self.gap_s, PLAIN))
+        self.ledger.submit(
+            now, Op({key: version}, [wire.put(key, value)], then, now + self.gap_s, PLAIN)
+        )
--- a/src/copperpass/net/client.py
+++ b/src/copperpass/net/client.py
@@ -54,8 +54,11 @@
 
     def _putConnection(self, key: Any, connection: Any) -> None:
         super()._putConnection(key, connection)
-        self._keys = {c: k for c, k in self._keys.items() if c in self._timeouts} if (
-            len(self._keys) > 2 * self.most) else self._keys
+        self._keys = (
+            {c: k for c, k in self._keys.items() if c in self._timeouts}
+            if (len(self._keys) > 2 * self.most)
+            else self._keys
+        )
         self._keys[connection] = key
 
 
@@ -69,7 +72,8 @@
     def endpointForURI(self, uri: URI) -> TCP4ClientEndpoint:
         """The endpoint of an address."""
         return TCP4ClientEndpoint(
-            self.reactor, uri.host.decode("ascii"), uri.port, timeout=self.timeout)
+            self.reactor, uri.host.decode("ascii"), uri.port, timeout=self.timeout
+        )
 
 
 class Body(Protocol):
--- a/src/copperpass/net/peers.py
+++ b/src/copperpass/net/peers.py
@@ -136,8 +136,13 @@
     """All links of this controller."""
 
     def __init__(
-        self, reactor: Any, own: str, listen: str, members: dict[str, str],
-        received: Received, retry_s: float,
+        self,
+        reactor: Any,
+        own: str,
+        listen: str,
+        members: dict[str, str],
+        received: Received,
+        retry_s: float,
     ) -> None:
         self.reactor = reactor
         self.host, self.port = split_address(listen, "internal_addr")
--- a/src/copperpass/net/service.py
+++ b/src/copperpass/net/service.py
@@ -31,20 +31,29 @@
         # The time of day wanders, so only its distance at the start is used, and only to know how
         # long a job has waited already.
         self.node = Node(
-            settings, int.from_bytes(os.urandom(8), "big"), self.now(), tuning,
-            time.time() - self.now())
+            settings,
+            int.from_bytes(os.urandom(8), "big"),
+            self.now(),
+            tuning,
+            time.time() - self.now(),
+        )
         self.peers = Peers(
-            reactor, settings.name, settings.peer_listen,
-            {m.name: m.addr for m in settings.members}, self._received,
+            reactor,
+            settings.name,
+            settings.peer_listen,
+            {m.name: m.addr for m in settings.members},
+            self._received,
             self.node.times.promise / 4,
         )
         sockets = settings.cluster.resources.max_connections
         self.client = Client(reactor, 8, 32)
         # A quarter of the sockets for orders to workers; the rest is for those who come in.
         self.workers = Client(
-            reactor, 1, max(16, sockets // 4), 2 * settings.cluster.workers.lease_s)
+            reactor, 1, max(16, sockets // 4), 2 * settings.cluster.workers.lease_s
+        )
         self.addresses = {
-            "state": settings.services.state, "cloud": settings.services.cloud,
+            "state": settings.services.state,
+            "cloud": settings.services.cloud,
         }
         self.tick_s = min(0.1, settings.cluster.workers.report_s / 20)
         self.soon: Any = None
--- a/src/copperpass/peer.py
+++ b/src/copperpass/peer.py
@@ -176,8 +176,20 @@
 
 
 Frame = (
-    Hello | Beat | Ask | Promise | Counts | Handed | Answered
-    | Pull | Grant | Entries | Statuses | Wants | CalledOff | Tied
+    Hello
+    | Beat
+    | Ask
+    | Promise
+    | Counts
+    | Handed
+    | Answered
+    | Pull
+    | Grant
+    | Entries
+    | Statuses
+    | Wants
+    | CalledOff
+    | Tied
 )
 _PULL = struct.Struct("!QQIQ")
 _GRANT = struct.Struct("!QQIIQBQB")
@@ -236,26 +248,63 @@
 
 
 def _pack_entry(entry: Entry) -> bytes:
-    flags = _flags(entry.spot, entry.recorded, entry.back, entry.vacate, entry.failed, entry.gone,
-                   entry.proven, entry.contact is not None)
-    return (_text(entry.name) + _text(entry.type) + _text(entry.zone)
-            + _ENTRY.pack(entry.pool, entry.base, entry.may_hold, flags) + _contact(entry.contact))
+    flags = _flags(
+        entry.spot,
+        entry.recorded,
+        entry.back,
+        entry.vacate,
+        entry.failed,
+        entry.gone,
+        entry.proven,
+        entry.contact is not None,
+    )
+    return (
+        _text(entry.name)
+        + _text(entry.type)
+        + _text(entry.zone)
+        + _ENTRY.pack(entry.pool, entry.base, entry.may_hold, flags)
+        + _contact(entry.contact)
+    )
 
 
 def _read_entry(reader: _Reader) -> Entry:
     name, kind, zone = reader.text(), reader.text(), reader.text()
     pool, base, may_hold, flags = reader.unpack(_ENTRY)
     spot, recorded, back, vacate, failed, gone, proven, there = (
-        bool(flags >> n & 1) for n in range(8))
-    return Entry(name, kind, zone, spot, pool, base, may_hold, recorded, back, vacate, failed, gone,
-                 reader.contact(there), proven)
+        bool(flags >> n & 1) for n in range(8)
+    )
+    return Entry(
+        name,
+        kind,
+        zone,
+        spot,
+        pool,
+        base,
+        may_hold,
+        recorded,
+        back,
+        vacate,
+        failed,
+        gone,
+        reader.contact(there),
+        proven,
+    )
 
 
 def _pack_status(status: Status) -> bytes:
-    flags = _flags(status.up, status.settled, status.idle, status.given, status.release,
-                   status.contact is not None)
-    return (_text(status.name) + _STATUS.pack(status.base, flags, status.pool, status.used_cpus)
-            + _contact(status.contact))
+    flags = _flags(
+        status.up,
+        status.settled,
+        status.idle,
+        status.given,
+        status.release,
+        status.contact is not None,
+    )
+    return (
+        _text(status.name)
+        + _STATUS.pack(status.base, flags, status.pool, status.used_cpus)
+        + _contact(status.contact)
+    )
 
 
 def _read_status(reader: _Reader) -> Status:
@@ -270,16 +319,24 @@
     if isinstance(frame, Pull):
         return PULL, _PULL.pack(frame.epoch, frame.incarnation, frame.number, frame.applied)
     if isinstance(frame, Grant):
-        head = _GRANT.pack(frame.epoch, frame.incarnation, frame.number, frame.length_ms,
-                           frame.token_version, frame.dear_excess, frame.applied,
-                           len(frame.shares))
+        head = _GRANT.pack(
+            frame.epoch,
+            frame.incarnation,
+            frame.number,
+            frame.length_ms,
+            frame.token_version,
+            frame.dear_excess,
+            frame.applied,
+            len(frame.shares),
+        )
         return GRANT, head + b"".join(
-            _text(s.member) + _SHARE.pack(s.pool, s.serial, s.revision, s.at)
-            for s in frame.shares)
+            _text(s.member) + _SHARE.pack(s.pool, s.serial, s.revision, s.at) for s in frame.shares
+        )
     if isinstance(frame, Wants):
         head = _WANTS.pack(frame.epoch, frame.pool, frame.applied, len(frame.wants))
         return WANTS, head + b"".join(
-            _text(job) + _WANT.pack(count, left) for job, count, left in frame.wants)
+            _text(job) + _WANT.pack(count, left) for job, count, left in frame.wants
+        )
     if isinstance(frame, Entries):
         kind, parts = ENTRIES, [_pack_entry(e) for e in frame.entries]
     else:
@@ -301,7 +358,8 @@
             pool, serial, revision, at = reader.unpack(_SHARE)
             shares.append(Share(pool, member, serial, revision, at))
         frame = Grant(
-            epoch, incarnation, number, length, version, bool(dear), applied, tuple(shares))
+            epoch, incarnation, number, length, version, bool(dear), applied, tuple(shares)
+        )
     elif kind == WANTS:
         epoch, pool, applied, count = reader.unpack(_WANTS)
         wants = []
@@ -342,7 +400,8 @@
     elif isinstance(frame, Tied):
         kind = TIED
         payload = _TIED.pack(frame.epoch, frame.pool, len(frame.zones)) + b"".join(
-            _text(job) + _text(zone) for job, zone in frame.zones)
+            _text(job) + _text(zone) for job, zone in frame.zones
+        )
     elif isinstance(frame, Pull | Grant | Entries | Statuses | Wants):
         kind, payload = _pack_share(frame)
     else:
--- a/src/copperpass/settings.py
+++ b/src/copperpass/settings.py
@@ -188,8 +188,10 @@
     for field, number in positive.items():
         if not number > 0:
             raise SettingsError(f"{field}: must be above 0, got {number}")
-    for field, length in (("gang_wait_s", cluster.workers.gang_wait_s),
-                          ("gang_peer_s", cluster.workers.gang_peer_s)):
+    for field, length in (
+        ("gang_wait_s", cluster.workers.gang_wait_s),
+        ("gang_peer_s", cluster.workers.gang_peer_s),
+    ):
         if length is not None and not length > 0:
             raise SettingsError(f"settings.workers.{field}: must be above 0, got {length}")
     if cluster.state.txn_ops < 4:
--- a/src/copperpass/tuning.py
+++ b/src/copperpass/tuning.py
@@ -48,9 +48,7 @@
         raise SettingsError(f"{path}: {error.strerror}") from None
     except (text_format.ParseError, UnicodeDecodeError) as error:
         raise SettingsError(f"{path}: {error}") from None
-    given = {
-        f.name: getattr(message, f.name) for f in fields(Tuning) if message.HasField(f.name)
-    }
+    given = {f.name: getattr(message, f.name) for f in fields(Tuning) if message.HasField(f.name)}
     for name, (low, high) in BOUNDS.items():
         value = given.get(name)
         if value is not None and not (math.isfinite(value) and low <= value <= high):
--- a/src/copperpass/wire.py
+++ b/src/copperpass/wire.py
@@ -152,9 +152,7 @@
     commands: list[Command]
 
 
-class Direct(
-    msgspec.Struct, rename={"token": "baton", "session": "shift", "commands": "orders"}
-):
+class Direct(msgspec.Struct, rename={"token": "baton", "session": "shift", "commands": "orders"}):
     """Orders sent straight to a worker."""
 
     token: int
@@ -346,8 +344,10 @@
 def transaction(guards: dict[str, int], writes: list[dict[str, Any]]) -> bytes:
     """The body of a guarded transaction; writes come from `put` and `remove`."""
     return encode(
-        {"guards": [{"path": key, "stamp": version} for key, version in guards.items()],
-         "writes": writes}
+        {
+            "guards": [{"path": key, "stamp": version} for key, version in guards.items()],
+            "writes": writes,
+        }
     )
 
 
--- a/tests/production.py
+++ b/tests/production.py
@@ -17,8 +17,9 @@
 
 def commit():
     """The commit that `deploy/service.toml` names."""
-    found = re.search(r'^production = "([0-9a-f]{40})"', (ROOT / "deploy/service.toml").read_text(),
-                      re.MULTILINE)
+    found = re.search(
+        r'^production = "([0-9a-f]{40})"', (ROOT / "deploy/service.toml").read_text(), re.MULTILINE
+    )
     assert found, "deploy/service.toml names no version in production"
     return found[1]
 
@@ -55,7 +56,8 @@
     source = ROOT / "target" / "old" / name
     if not (source / "src").is_dir():
         archive = subprocess.run(
-            ["git", "archive", name, f"src/{PACKAGE}"], cwd=ROOT, capture_output=True, check=False)
+            ["git", "archive", name, f"src/{PACKAGE}"], cwd=ROOT, capture_output=True, check=False
+        )
         if archive.returncode:
             return None
         with tarfile.open(fileobj=BytesIO(archive.stdout)) as tar:
@@ -67,6 +69,8 @@
     """The version in production, or a skip that says why."""
     made = _load()
     if made is None:
-        pytest.skip(f"NOT RUN: the history lacks the version in production ({commit()}); "
-                    "a shallow clone? Without it nothing shows that both serve side by side")
+        pytest.skip(
+            f"NOT RUN: the history lacks the version in production ({commit()}); "
+            "a shallow clone? Without it nothing shows that both serve side by side"
+        )
     return made
--- a/tests/test_allocation.py
+++ b/tests/test_allocation.py
@@ -68,9 +68,7 @@
     rng = random.Random(7)
     for _ in range(400):
         n = rng.randint(1, 6)
-        claims = [
-            Claim(str(i), (rng.uniform(0.1, 8), rng.uniform(0.1, 32)), 1.0) for i in range(n)
-        ]
+        claims = [Claim(str(i), (rng.uniform(0.1, 8), rng.uniform(0.1, 32)), 1.0) for i in range(n)]
         capacity = (rng.uniform(50, 500), rng.uniform(50, 2000))
         result = allocate_once(claims, capacity)
         for r in (0, 1):
@@ -80,9 +78,7 @@
             assert result.tasks[a.team] >= fair_share(a, capacity, n) * 0.9999
             for b in claims:
                 # Envy-free: b's bundle would not run more of a's tasks than a's own.
-                with_b = min(
-                    result.tasks[b.team] * b.request[r] / a.request[r] for r in (0, 1)
-                )
+                with_b = min(result.tasks[b.team] * b.request[r] / a.request[r] for r in (0, 1))
                 assert with_b <= result.tasks[a.team] * 1.0001
 
 
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -48,7 +48,8 @@
         others = [n for n in self.names if n != name]
         times = self.own_times.get(name, self.times)
         self.nodes[name] = Authority(
-            name, others, times, out, ledger, self.rng, lambda *a: None, self.clock(name))
+            name, others, times, out, ledger, self.rng, lambda *a: None, self.clock(name)
+        )
         self.seen[name] = 0
 
     def step(self, seconds=0.05):
@@ -65,8 +66,7 @@
                 node.tick(self.clock(name))
                 node.ledger.pump(self.clock(name))
                 self.drain(name)
-        entitled = [n for n in self.names
-                    if self.nodes[n].entitled(self.clock(n))]
+        entitled = [n for n in self.names if self.nodes[n].entitled(self.clock(n))]
         self.most = max(self.most, len(entitled))
         self.led.update(entitled)
         self.bridges += sum(1 for n in entitled if self.nodes[n].bridging(self.clock(n)))
@@ -116,8 +116,12 @@
             if name in self.refused or self.state.down:
                 finish(503, b"{}")
                 return
-            self.state.handle(call.method, call.path, call.body, lambda s, b: self.after(
-                self.rng.uniform(0, 0.1), lambda: finish(s, b)))
+            self.state.handle(
+                call.method,
+                call.path,
+                call.body,
+                lambda s, b: self.after(self.rng.uniform(0, 0.1), lambda: finish(s, b)),
+            )
 
         late = self.rng.random() < 0.05
         self.after(self.rng.uniform(1.0, 8.0) if late else self.rng.uniform(0, 0.1), arrive)
--- a/tests/test_fakes.py
+++ b/tests/test_fakes.py
@@ -22,7 +22,10 @@
         worker = Worker(self.world, name, zone, True)
         worker.renewed, worker.speed = 1e9, 1.0
         self.world.cloud.machines[name] = {
-            "place": (zone, True), "at": self.world.now, "worker": worker}
+            "place": (zone, True),
+            "at": self.world.now,
+            "worker": worker,
+        }
         return worker
 
     def order(self, verb, index, take=1, on=None, **more):
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -143,7 +143,8 @@
     one, other = [n for n in world.names if n != leader]
     deliver = world.frame
     world.frame = lambda s, m, f: (
-        told.append((s, m)) if isinstance(f, CalledOff) else deliver(s, m, f))
+        told.append((s, m)) if isinstance(f, CalledOff) else deliver(s, m, f)
+    )
     world.nodes[one].members.known.discard(leader)
     world.cancel("req-000001", one)
     world.run(2.0)
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -12,8 +12,12 @@
 def marks(world, number):
     """What machines note of a job's tasks: (worker, key, mark)."""
     job_id = f"req-{number:06d}"
-    return [(w, key, mark) for w in world.cloud.workers() for key, mark in w.tasks.items()
-            if key[0].split("/")[0] == job_id]
+    return [
+        (w, key, mark)
+        for w in world.cloud.workers()
+        for key, mark in w.tasks.items()
+        if key[0].split("/")[0] == job_id
+    ]
 
 
 def count(world, number, *states):
@@ -97,12 +101,17 @@
 def test_a_gang_beyond_its_teams_limit_can_never_run():
     world = begun(gang(1, tasks=4, cpus=16.0), gang(2, team="blue", tasks=12, cpus=4.0))
     for spec, status in [
-            (gang(3, tasks=5, cpus=16.0), 422), (gang(4, team="blue", tasks=13, cpus=4.0), 422),
-            (gang(5, tasks=2, cpus=17.0), 422), (gang(6, team="none"), 422),
-            (gang(9, tasks=3, spread=True), 422),
-            (gang(10, tasks=3, same_place=False, spread=True, hall="a"), 422),
-            (job(7, tasks=5, cpus=16.0), 201), (gang(8, form="parade"), 400),
-            (gang(1, tasks=4, cpus=16.0), 200), (gang(1, tasks=9, cpus=16.0), 200)]:
+        (gang(3, tasks=5, cpus=16.0), 422),
+        (gang(4, team="blue", tasks=13, cpus=4.0), 422),
+        (gang(5, tasks=2, cpus=17.0), 422),
+        (gang(6, team="none"), 422),
+        (gang(9, tasks=3, spread=True), 422),
+        (gang(10, tasks=3, same_place=False, spread=True, hall="a"), 422),
+        (job(7, tasks=5, cpus=16.0), 201),
+        (gang(8, form="parade"), 400),
+        (gang(1, tasks=4, cpus=16.0), 200),
+        (gang(1, tasks=9, cpus=16.0), 200),
+    ]:
         for again in (False, True):
             if status == 201:
                 world.specs[spec["id"]] = spec
@@ -116,10 +125,17 @@
 
 @pytest.mark.parametrize("state", ["room", "pulling", "gathering", "running"])
 def test_a_cancelled_gang_is_gone_in_every_state(state):
-    world = begun(gang(1, run_s=300.0, cpus=12.0), capacity={} if state == "room" else {
-        ("a", True): 3, ("a", False): 3})
-    world.fetch_s.update({f"req-000001/{i}": 8.0 for i in range(4)} if state == "pulling" else
-                         {"req-000001/2": 8.0} if state == "gathering" else {})
+    world = begun(
+        gang(1, run_s=300.0, cpus=12.0),
+        capacity={} if state == "room" else {("a", True): 3, ("a", False): 3},
+    )
+    world.fetch_s.update(
+        {f"req-000001/{i}": 8.0 for i in range(4)}
+        if state == "pulling"
+        else {"req-000001/2": 8.0}
+        if state == "gathering"
+        else {}
+    )
     if state != "room":
         world.run_until(lambda: count(world, 1, state) >= (4 if state == "running" else 2), 60)
     user = world.cancel("req-000001")
@@ -203,8 +219,9 @@
 
 
 def test_a_gang_that_gives_way_to_higher_work_is_saved():
-    world = begun(gang(1, team="blue", run_s=200.0, proof_s=500.0, urgency="low"),
-                  capacity={("a", True): 3})
+    world = begun(
+        gang(1, team="blue", run_s=200.0, proof_s=500.0, urgency="low"), capacity={("a", True): 3}
+    )
     world.run_until(runs(world, 1), 60)
     world.run(5.0)
     world.submit(job(2, team="blue", tasks=3, cpus=16.0, urgency="production", run_s=10.0))
@@ -216,8 +233,9 @@
 
 @pytest.mark.parametrize("parted", [False, True])
 def test_two_gangs_for_the_last_room_run_one_after_the_other(parted):
-    world = begun(gang(1, cpus=8.0), gang(2, team="blue", cpus=8.0),
-                  capacity={("a", True): 3}, parted=parted)
+    world = begun(
+        gang(1, cpus=8.0), gang(2, team="blue", cpus=8.0), capacity={("a", True): 3}, parted=parted
+    )
     world.run_until(done(world, 1, 2), 150)
     assert world.waited < 20.0 and not world.alone and not world.lost_saves
     assert len(attempts(world, 1) + attempts(world, 2)) == 2
@@ -340,8 +358,9 @@
 
 @pytest.mark.parametrize("one_zone", [False, True])
 def test_a_gang_takes_room_in_different_zones_only_if_it_may(one_zone):
-    world = begun(gang(1, tasks=3, cpus=14.0, same_place=one_zone),
-                  capacity={(z, True): 1 for z in "abc"})
+    world = begun(
+        gang(1, tasks=3, cpus=14.0, same_place=one_zone), capacity={(z, True): 1 for z in "abc"}
+    )
     if one_zone:
         for _ in range(60):
             world.run(1)
@@ -358,8 +377,16 @@
 @pytest.mark.parametrize("state", ["gathering", "running"])
 def test_an_owners_crash_costs_no_running_gang(state):
     world = World(parted=True)
-    holders = lambda: {o.pool: n for n, node in world.nodes.items() for o in node.owners  # noqa: E731
-                       if o.entitled(world.now)}
+
+    def holders():
+        entitled = [
+            (owner.pool, name)
+            for name, node in world.nodes.items()
+            for owner in node.owners
+            if owner.entitled(world.now)
+        ]
+        return dict(entitled)
+
     world.run_until(lambda: world.leader() and len(holders()) == 2, 20)
     for number, team in ((1, "red"), (2, "blue")):
         world.submit(gang(number, team=team, run_s=40.0))
@@ -388,10 +415,17 @@
         if act < 0.45 and names:
             number += 1
             make = gang if rng.random() < 0.6 else functools.partial(job, same_place=False)
-            world.submit(make(
-                number, team=rng.choice(["red", "blue"]), tasks=rng.randint(1, 6),
-                cpus=rng.choice([1.0, 4.0, 7.5]), run_s=rng.uniform(2, 40),
-                proof_s=rng.choice([0.0, 5.0]), urgency=rng.choice(["high", "normal", "low"])))
+            world.submit(
+                make(
+                    number,
+                    team=rng.choice(["red", "blue"]),
+                    tasks=rng.randint(1, 6),
+                    cpus=rng.choice([1.0, 4.0, 7.5]),
+                    run_s=rng.uniform(2, 40),
+                    proof_s=rng.choice([0.0, 5.0]),
+                    urgency=rng.choice(["high", "normal", "low"]),
+                )
+            )
         elif act < 0.55 and number and names:
             world.cancel(f"req-{rng.randint(1, number):06d}")
         elif act < 0.65 and names:
@@ -411,7 +445,11 @@
                 worker.notice = 10.0
                 world.after(10.0, functools.partial(world.cloud.take, worker.name))
     world.heal()
-    world.run_until(lambda: all(
-        f"d/job/{j}" in world.state.data for j in world.told if j not in world.cancelled), 500)
+    world.run_until(
+        lambda: all(
+            f"d/job/{j}" in world.state.data for j in world.told if j not in world.cancelled
+        ),
+        500,
+    )
     assert world.starts > 20 and any(g.started for g in world.gangs.values())
     fine(world)
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -8,8 +8,12 @@
 
 
 def owners(world):
-    return {o.pool: name for name, node in world.nodes.items() for o in node.owners
-            if node.holder.entitled(world.now) and o.ready}
+    return {
+        o.pool: name
+        for name, node in world.nodes.items()
+        for o in node.owners
+        if node.holder.entitled(world.now) and o.ready
+    }
 
 
 def parted(seed=1):
@@ -80,8 +84,12 @@
     passed = False
     while world.now < end:
         world.run(0.02)
-        entitled = [n for n, node in world.nodes.items() for o in node.owners
-                    if o.pool == 0 and node.holder.entitled(world.now)]
+        entitled = [
+            n
+            for n, node in world.nodes.items()
+            for o in node.owners
+            if o.pool == 0 and node.holder.entitled(world.now)
+        ]
         assert len(entitled) <= 1
         passed = passed or entitled not in ([], [owner])
     assert passed
@@ -129,8 +137,16 @@
     name = owners(world)[0]
     holder = world.nodes[name].holder
     number = max(holder.asked)
-    stale = peer.Grant(holder.epoch, holder.incarnation, number - 2, 99000, 1, True, 0,
-                       (peer.Share(1, name, 99, 1, 0),))
+    stale = peer.Grant(
+        holder.epoch,
+        holder.incarnation,
+        number - 2,
+        99000,
+        1,
+        True,
+        0,
+        (peer.Share(1, name, 99, 1, 0),),
+    )
     until = holder.until
     holder.granted(world.now, holder.leader, stale)
     assert holder.until == until and set(holder.owners) == {0}
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -56,9 +56,17 @@
     world.run_until(world.leader)
     world.lag = (0.05, 0.2)
     for n in range(1, 31):
-        world.submit(job(
-            n, team="red" if n % 2 else "blue", tasks=3, cpus=4.0, run_s=8.0,
-            urgency="production" if n % 5 == 0 else "low", slot="quick" if n % 3 else "none"))
+        world.submit(
+            job(
+                n,
+                team="red" if n % 2 else "blue",
+                tasks=3,
+                cpus=4.0,
+                run_s=8.0,
+                urgency="production" if n % 5 == 0 else "low",
+                slot="quick" if n % 3 else "none",
+            )
+        )
         step(world, 1.0)
     # The largest must begin within four minutes, whatever small ones are about.
     world.submit(job(99, tasks=1, cpus=16.0, run_s=5.0, slot="none"))
@@ -95,7 +103,8 @@
 def test_jobs_of_a_few_tasks_end_far_apart_across_a_change_of_leader():
     # Of many lengths, so that some end after each change.
     world = started_world(
-        [job(n, tasks=3, cpus=1.0, run_s=6.0 + 6.0 * n) for n in range(1, 11)], 24)
+        [job(n, tasks=3, cpus=1.0, run_s=6.0 + 6.0 * n) for n in range(1, 11)], 24
+    )
     world.late_writes = 0.2
     for _ in range(4):
         ended = len(world.completed)
@@ -186,7 +195,8 @@
 def test_a_leader_ends_while_machines_with_long_tasks_do_not_hear_the_new_one(trouble, parted):
     # Holds what is unseen in `Owner._startable`.
     world = started_world(
-        [job(n, tasks=4, run_s=100.0, slot="slow") for n in (1, 2)], 8, parted=parted)
+        [job(n, tasks=4, run_s=100.0, slot="slow") for n in (1, 2)], 8, parted=parted
+    )
     victims = [w for w in world.cloud.workers() if w.on_it()][:2]
     old = world.leader()
     for worker in victims:
@@ -374,7 +384,8 @@
 @pytest.mark.parametrize("back", [0.1, 0.6, 5.0])
 def test_controllers_hand_over_and_back_all_end_and_one_returns(back, parted):
     world = started_world(
-        [job(n, tasks=4, cpus=2.0, run_s=60.0) for n in range(1, 5)], 16, parted=parted)
+        [job(n, tasks=4, cpus=2.0, run_s=60.0) for n in range(1, 5)], 16, parted=parted
+    )
     first = world.leader()
     world.nodes[first].authority.step_down(world.now, "hand over", shun=3.0)
     second = new_leader(world, first)
@@ -453,20 +464,42 @@
 
 
 ODD = [
-    (400, {"cpus": True}), (400, {"cpus": "4.0"}), (400, {"pages": True}), (400, {"pages": "2"}),
-    (400, {"pages": 2.5}), (400, {"pages": -1}), (400, {"pages": 10**20}), (400, {"pages": None}),
-    (400, {"cpus": None}), (400, {"edition_s": -1.0}), (400, {"edition_s": "soon"}),
-    (400, {"hall": 3}), (400, {"racks": [1]}), (400, {"same_place": 1}), (400, {"slot": ""}),
-    (400, {"memory_gb": -0.1}), (400, {"flush_s": -1.0}), (400, {"desk": None}),
+    (400, {"cpus": True}),
+    (400, {"cpus": "4.0"}),
+    (400, {"pages": True}),
+    (400, {"pages": "2"}),
+    (400, {"pages": 2.5}),
+    (400, {"pages": -1}),
+    (400, {"pages": 10**20}),
+    (400, {"pages": None}),
+    (400, {"cpus": None}),
+    (400, {"edition_s": -1.0}),
+    (400, {"edition_s": "soon"}),
+    (400, {"hall": 3}),
+    (400, {"racks": [1]}),
+    (400, {"same_place": 1}),
+    (400, {"slot": ""}),
+    (400, {"memory_gb": -0.1}),
+    (400, {"flush_s": -1.0}),
+    (400, {"desk": None}),
     # Names of types that don't exist aren't stored; what can't be stored at all is refused.
     (201, {"racks": ["box", *(f"none-{n:030d}" for n in range(1000))]}),
-    (422, {"master": "m" * 40_000}), (422, {"racks": ["box"], "slot": "s" * 40_000}),
-    (422, {"cpus": 1e300}), (422, {"memory_gb": 1e18}), (422, {"cards": 1e-3}),
-    (422, {"racks": []}), (422, {"racks": ["?"], "hall": "a"}), (422, {"hall": ""}),
-    (201, {"cpus": 0.0, "memory_gb": 0.0}), (201, {"cpus": 4}), (201, {"edition_s": 0.0}),
+    (422, {"master": "m" * 40_000}),
+    (422, {"racks": ["box"], "slot": "s" * 40_000}),
+    (422, {"cpus": 1e300}),
+    (422, {"memory_gb": 1e18}),
+    (422, {"cards": 1e-3}),
+    (422, {"racks": []}),
+    (422, {"racks": ["?"], "hall": "a"}),
+    (422, {"hall": ""}),
+    (201, {"cpus": 0.0, "memory_gb": 0.0}),
+    (201, {"cpus": 4}),
+    (201, {"edition_s": 0.0}),
     (201, {"spread": True, "same_place": True, "pages": 3}),
-    (201, {"spread": True, "hall": "a", "pages": 3}), (201, {"racks": ["box", "?"]}),
-    (201, {"cpus": 0.0}), (201, {"runtime_s": 0.0}),
+    (201, {"spread": True, "hall": "a", "pages": 3}),
+    (201, {"racks": ["box", "?"]}),
+    (201, {"cpus": 0.0}),
+    (201, {"runtime_s": 0.0}),
 ]
 
 
@@ -503,9 +536,20 @@
 
 
 def said(name, tasks, token, session, seq):
-    return wire.encode(wire.Report(
-        name, "10.0.0.8:1", "box", "a", True, session, seq, token, None,
-        [wire.TaskReport(t, a, s, w) for t, a, s, w in tasks]))
+    return wire.encode(
+        wire.Report(
+            name,
+            "10.0.0.8:1",
+            "box",
+            "a",
+            True,
+            session,
+            seq,
+            token,
+            None,
+            [wire.TaskReport(t, a, s, w) for t, a, s, w in tasks],
+        )
+    )
 
 
 def test_the_end_of_an_old_lease_does_not_free_the_tasks_of_a_new_session():
@@ -549,8 +593,9 @@
     # Holds `Owner._alone`. A task was stopped, started again where it was, and the leader changed.
     bench = Bench()
     bench.add(version=40)
-    bench.report([("req-000001/0", 5, "exited", "halted"),
-                  ("req-000001/0", 6, "running", None)][::turn])
+    bench.report(
+        [("req-000001/0", 5, "exited", "halted"), ("req-000001/0", 6, "running", None)][::turn]
+    )
     assert bench.job.placed == {0: "m-1"}
     bench.report([("req-000001/0", 6, "running", None)])
     assert bench.job.placed == {0: "m-1"}
@@ -583,8 +628,16 @@
     out = Outbox()
     ledger = Ledger(out, 60.0, 16, 1.0)
     times = times_of(parse(raw_settings()).cluster)
-    core = Authority("n0", ["n1", "n2"], times, out, ledger, random.Random(1),
-                     lambda now, leading, continued: None, 0.0)
+    core = Authority(
+        "n0",
+        ["n1", "n2"],
+        times,
+        out,
+        ledger,
+        random.Random(1),
+        lambda now, leading, continued: None,
+        0.0,
+    )
     core.known = True
     core.tick(50.0)
     (make,) = out.calls
@@ -643,8 +696,9 @@
     world.run_until(world.leader)
     world.run(3.0)
     leader = world.leader()
-    granted = [t.granted_until for n, t in world.nodes[leader].landlord.tenants.items()
-               if n != leader]
+    granted = [
+        t.granted_until for n, t in world.nodes[leader].landlord.tenants.items() if n != leader
+    ]
     world.nodes[leader].authority.step_down(world.now, "told to")
     while world.now < max(granted):
         assert "c/lead" in world.state.data
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -100,8 +100,17 @@
             if rng.random() < 0.4:
                 machine.images["img-1"] = 0.5
             machines[machine.name] = machine
-        jobs = [made(n, 0.0, cpus=rng.choice([1.0, 4.0]), tasks=6, same_place=rng.random() < 0.3,
-                     borrowed=rng.random() < 0.7) for n in (1, 2)]
+        jobs = [
+            made(
+                n,
+                0.0,
+                cpus=rng.choice([1.0, 4.0]),
+                tasks=6,
+                same_place=rng.random() < 0.3,
+                borrowed=rng.random() < 0.7,
+            )
+            for n in (1, 2)
+        ]
         more = {"closed": set(), "cheap_only": False, "tight": rng.random() < 0.5}
         roomy, log = list(machines.values()), []
         kept = [Ranking(j, roomy, machines, 0.0, **more) for j in jobs]
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -24,14 +24,27 @@
         self.out, self.jobs, self.now = Outbox(), JobTable(), 10.0
         self.fresh_at = float("-inf")
         ledger = Ledger(self.out, 60.0, 16, 1.0)
-        types = {"box": wire.decode(json.dumps({"racks": [TYPE]}).encode(), wire.MachineTypes)
-                 .types[0]}
+        types = {
+            "box": wire.decode(json.dumps({"racks": [TYPE]}).encode(), wire.MachineTypes).types[0]
+        }
         self.token = base_token(1, 1)
         self.owner = Owner(
-            cluster, self.out, ledger, self.jobs, types, {}, pool=0,
-            pools={t.name: 0 for t in cluster.teams}, epoch=1, serial=1, revision=50,
-            token_version=lambda: 50, entitled=lambda now: True, now=self.now,
-            fresh_at=lambda: self.fresh_at)
+            cluster,
+            self.out,
+            ledger,
+            self.jobs,
+            types,
+            {},
+            pool=0,
+            pools={t.name: 0 for t in cluster.teams},
+            epoch=1,
+            serial=1,
+            revision=50,
+            token_version=lambda: 50,
+            entitled=lambda now: True,
+            now=self.now,
+            fresh_at=lambda: self.fresh_at,
+        )
         self.entry = Entry("m-1", "box", "a", True, 0, self.token, recorded=True)
         self.owner.learn(self.now, self.entry)
         self.owner.begin(self.now)
@@ -41,8 +54,10 @@
 
     def take_over(self, name, **more):
         """Learn of a machine that an earlier commander may have used."""
-        self.owner.learn(self.now, Entry(
-            name, "box", "a", True, 0, base_token(1, 9), ANYBODY, recorded=True, **more))
+        self.owner.learn(
+            self.now,
+            Entry(name, "box", "a", True, 0, base_token(1, 9), ANYBODY, recorded=True, **more),
+        )
         return self.owner.machines[name]
 
     def report(self, tasks, token=None, session=1, seq=None):
@@ -54,9 +69,17 @@
 
     def message(self, tasks, token=None, session=1, seq=0):
         return wire.Report(
-            "m-1", "10.0.0.9:1", "box", "a", True, session, seq,
-            self.token if token is None else token, None,
-            [wire.TaskReport(t, a, s, w) for t, a, s, w in tasks])
+            "m-1",
+            "10.0.0.9:1",
+            "box",
+            "a",
+            True,
+            session,
+            seq,
+            self.token if token is None else token,
+            None,
+            [wire.TaskReport(t, a, s, w) for t, a, s, w in tasks],
+        )
 
     def answer_state(self, status=200):
         for call in self.take("state"):
@@ -132,8 +155,15 @@
     bench = Bench()
     call, attempt = bench.start()
     ended = [("req-000001/0", attempt, "exited", "done")]
-    call.then(bench.now, Outcome(200, wire.encode(
-        bench.message([("req-000001/0", attempt, "running", None)], seq=bench.seq + 1))))
+    call.then(
+        bench.now,
+        Outcome(
+            200,
+            wire.encode(
+                bench.message([("req-000001/0", attempt, "running", None)], seq=bench.seq + 1)
+            ),
+        ),
+    )
     bench.seq += 1
     answer = bench.report(ended)
     assert answer.commands == []
@@ -272,8 +302,9 @@
 
     def answer(session, token, seq):
         tasks = [wire.TaskReport("req-000001/0", 5, "running", None)]
-        return wire.encode(wire.Report(
-            "m-9", "10.0.0.8:1", "box", "a", True, session, seq, token, None, tasks))
+        return wire.encode(
+            wire.Report("m-9", "10.0.0.8:1", "box", "a", True, session, seq, token, None, tasks)
+        )
 
     # Its session has changed since: that answer shows no new token, so it proves nothing.
     probe.then(bench.now, Outcome(409, answer(4, 1, 7)))
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -10,9 +10,15 @@
 
 FRAMES = [
     peer.CalledOff("req-000412"),
-    peer.Hello("n1"), peer.Beat(7, peer.NEVER), peer.Ask(7, 9), peer.Promise(7, 9, True),
-    peer.Promise(7, 9, False), peer.Counts({"req-000001": 3, "req-000002": 1}), peer.Counts({}),
-    peer.Handed(7, b"{}" * 30000), peer.Answered(7, 421, b""),
+    peer.Hello("n1"),
+    peer.Beat(7, peer.NEVER),
+    peer.Ask(7, 9),
+    peer.Promise(7, 9, True),
+    peer.Promise(7, 9, False),
+    peer.Counts({"req-000001": 3, "req-000002": 1}),
+    peer.Counts({}),
+    peer.Handed(7, b"{}" * 30000),
+    peer.Answered(7, 421, b""),
 ]
 
 
@@ -55,11 +61,23 @@
     peer.Tied(3, 0, ()),
     peer.Pull(3, 1 << 61, 9, 12),
     peer.Grant(3, 1 << 61, 9, 1400, 55, True, 4, (peer.Share(1, "n2", 7, 90, 12),)),
-    peer.Entries(3, 5, 0, 2, (
-        Entry("m-1", "box", "a", True, 1, 1 << 45, 2, True, False, True, False, False, CONTACT),
-        Entry("m-2", "box", "b", False, 255, 7, gone=True))),
-    peer.Statuses(3, 5, 2, 3, (Status("m-1", 1 << 45, True, True, False, True, 1, False, 4.0,
-                                      CONTACT), Status("m-2", 7))),
+    peer.Entries(
+        3,
+        5,
+        0,
+        2,
+        (
+            Entry("m-1", "box", "a", True, 1, 1 << 45, 2, True, False, True, False, False, CONTACT),
+            Entry("m-2", "box", "b", False, 255, 7, gone=True),
+        ),
+    ),
+    peer.Statuses(
+        3,
+        5,
+        2,
+        3,
+        (Status("m-1", 1 << 45, True, True, False, True, 1, False, 4.0, CONTACT), Status("m-2", 7)),
+    ),
     peer.Wants(3, 1, 12, (("req-000001", 40, 2.5),)),
 ]
 
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -13,8 +13,10 @@
     out, order = Outbox(), []
     ledger = Ledger(out, write_rps=10.0, txn_ops=4, timeout=1.0)
     for n in range(30):
-        ledger.submit(0.0, Op({}, [wire.put(f"g/{n}", 1)],
-                              lambda *a, n=n: order.append(f"g{n}"), 99.0, GATHERED))
+        ledger.submit(
+            0.0,
+            Op({}, [wire.put(f"g/{n}", 1)], lambda *a, n=n: order.append(f"g{n}"), 99.0, GATHERED),
+        )
     ledger.submit(0.0, Op({}, [wire.put("u/1", 1)], lambda *a: order.append("user"), 99.0, URGENT))
     now = 0.0
     while "user" not in order and now < 5.0:
@@ -79,7 +81,9 @@
     view.tick(0.0)
     page = {"items": [{"path": "c/x", "value": 1, "stamp": 10}], "truncated": False, "issue": 6}
     out.calls.pop().then(0.0, Outcome(200, json.dumps(page).encode()))
-    news = {"issue": 10, "news": [{"remove": "c/x", "stamp": 7},
-                                  {"put": "c/x", "value": 1, "stamp": 10}]}
+    news = {
+        "issue": 10,
+        "news": [{"remove": "c/x", "stamp": 7}, {"put": "c/x", "value": 1, "stamp": 10}],
+    }
     out.calls.pop().then(0.1, Outcome(200, json.dumps(news).encode()))
     assert seen["c/x"] is not None
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -27,8 +27,7 @@
 def reactor():
     from twisted.internet import reactor
 
-    thread = threading.Thread(
-        target=lambda: reactor.run(installSignalHandlers=False), daemon=True)
+    thread = threading.Thread(target=lambda: reactor.run(installSignalHandlers=False), daemon=True)
     thread.start()
     yield reactor
     reactor.callFromThread(reactor.stop)
@@ -75,8 +74,12 @@
 
 @pytest.fixture
 def api(reactor):
-    port = on_reactor(reactor, lambda: reactor.listenTCP(
-        0, ApiFactory(FakeService(), reactor, 30.0), interface="127.0.0.1"))
+    port = on_reactor(
+        reactor,
+        lambda: reactor.listenTCP(
+            0, ApiFactory(FakeService(), reactor, 30.0), interface="127.0.0.1"
+        ),
+    )
     connection = http.client.HTTPConnection("127.0.0.1", port.getHost().port, timeout=10)
 
     def ask(method, path, body=None):
@@ -129,8 +132,14 @@
 
     def ask(name, port, timeout):
         def send():
-            client.call("POST", f"127.0.0.1:{port}", "/x", b'{"a":1}', timeout,
-                        lambda status, body: answers.setdefault(name, []).append((status, body)))
+            client.call(
+                "POST",
+                f"127.0.0.1:{port}",
+                "/x",
+                b'{"a":1}',
+                timeout,
+                lambda status, body: answers.setdefault(name, []).append((status, body)),
+            )
 
         on_reactor(reactor, send)
 
@@ -139,7 +148,10 @@
     ask("closed", closed, 10.0)
     wait_for(lambda: len(answers) == 3)
     assert answers == {
-        "good": [(409, b'{"a":1}')], "silent": [(0, b"")], "closed": [(NOT_SENT, b"")]}
+        "good": [(409, b'{"a":1}')],
+        "silent": [(0, b"")],
+        "closed": [(NOT_SENT, b"")],
+    }
     server.shutdown()
     silent.close()
 
@@ -163,9 +175,17 @@
     client, answers = Client(reactor, 1, 3), []
 
     def ask(server):
-        on_reactor(reactor, lambda: client.call(
-            "GET", f"127.0.0.1:{server.server_port}", "/x", b"", 10.0,
-            lambda status, body: answers.append(status)))
+        on_reactor(
+            reactor,
+            lambda: client.call(
+                "GET",
+                f"127.0.0.1:{server.server_port}",
+                "/x",
+                b"",
+                10.0,
+                lambda status, body: answers.append(status),
+            ),
+        )
 
     for number, server in enumerate([*servers, servers[-1]], 1):
         ask(server)
@@ -186,15 +206,24 @@
     got = []
     addresses = [f"127.0.0.1:{p}" for p in ports]
     first = Peers(reactor, "n0", addresses[0], {"n1": addresses[1]}, lambda *a: None, 0.05)
-    second = Peers(reactor, "n1", addresses[1], {"n0": addresses[0]},
-                   lambda sender, frame: got.append((sender, frame)), 0.05)
+    second = Peers(
+        reactor,
+        "n1",
+        addresses[1],
+        {"n0": addresses[0]},
+        lambda sender, frame: got.append((sender, frame)),
+        0.05,
+    )
     on_reactor(reactor, second.start)
     on_reactor(reactor, first.start)
     wait_for(lambda: first.outgoing["n1"].link is not None)
     on_reactor(reactor, lambda: first.send("n1", peer.Ask(4, 5)))
     wait_for(lambda: got == [("n0", peer.Ask(4, 5))])
-    for data in (b"GET / HTTP/1.1\r\n\r\n", peer.pack(peer.Ask(9, 9)),
-                 peer.pack(peer.Hello("nobody"))):
+    for data in (
+        b"GET / HTTP/1.1\r\n\r\n",
+        peer.pack(peer.Ask(9, 9)),
+        peer.pack(peer.Hello("nobody")),
+    ):
         with socket.create_connection(("127.0.0.1", ports[1]), 10) as stranger:
             stranger.sendall(data)
             with contextlib.suppress(ConnectionResetError):
@@ -211,8 +240,9 @@
         probe.bind(("127.0.0.1", 0))
         port = probe.getsockname()[1]
     deaf = socket.create_server(("127.0.0.1", port))
-    peers = Peers(reactor, "n0", f"127.0.0.1:{port}", {"n1": f"127.0.0.1:{port}"},
-                  lambda *a: None, 0.02)
+    peers = Peers(
+        reactor, "n0", f"127.0.0.1:{port}", {"n1": f"127.0.0.1:{port}"}, lambda *a: None, 0.02
+    )
     link = peers.outgoing["n1"]
     on_reactor(reactor, link.connect)
     wait_for(lambda: link.link is not None)
@@ -232,8 +262,11 @@
     for _ in range(100):
         on_reactor(reactor, send)
     # What waits in the process stays what it was when the link got stuck, whatever is sent.
-    assert sum(sent) > held and len(first.transport.dataBuffer) + sum(
-        map(len, first.transport._tempDataBuffer)) < 4 * 65536
+    assert (
+        sum(sent) > held
+        and len(first.transport.dataBuffer) + sum(map(len, first.transport._tempDataBuffer))
+        < 4 * 65536
+    )
     wait_for(lambda: on_reactor(reactor, send) or link.link not in (first, None))
     link._again = lambda: None
     deaf.close()
@@ -248,8 +281,7 @@
     lines += ["[settings]", f"zones = {json.dumps(s['zones'])}"]
     for name in ("teams", "objectives"):
         for entry in s[name]:
-            lines += [f"[[settings.{name}]]"] + [
-                f"{k} = {json.dumps(v)}" for k, v in entry.items()]
+            lines += [f"[[settings.{name}]]"] + [f"{k} = {json.dumps(v)}" for k, v in entry.items()]
     for name in ("workers", "state", "cloud"):
         lines += [f"[settings.{name}]"] + [f"{k} = {v}" for k, v in s[name].items()]
     return "\n".join(lines)
@@ -257,7 +289,8 @@
 
 def run(*args):
     return subprocess.run(
-        [sys.executable, str(ROOT / "run.py"), *args], capture_output=True, text=True, timeout=60)
+        [sys.executable, str(ROOT / "run.py"), *args], capture_output=True, text=True, timeout=60
+    )
 
 
 def test_command_line_checks_settings(tmp_path):
@@ -278,8 +311,11 @@
         assert result.returncode == 2 and word in result.stderr
         assert result.stderr.count("\n") == 1
     config.write_text(good)
-    for text, word in (("idle_boots: 0.7", ""), ("bogus: 1", "bogus"),
-                       ("silence_reports: 0.1", "silence_reports")):
+    for text, word in (
+        ("idle_boots: 0.7", ""),
+        ("bogus: 1", "bogus"),
+        ("silence_reports: 0.1", "silence_reports"),
+    ):
         operator.write_text(text)
         result = run("--config", str(config), "--operator", str(operator), "--check")
         assert result.returncode == (2 if word else 0) and word in result.stderr
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -13,9 +13,7 @@
 
 def finished(world, *numbers):
     ids = [f"req-{n:06d}" for n in numbers]
-    return lambda: all(
-        f"d/job/{i}" in world.state.data for i in ids
-    )
+    return lambda: all(f"d/job/{i}" in world.state.data for i in ids)
 
 
 def test_a_job_runs_and_is_told_done():
@@ -377,12 +375,19 @@
         names = sorted(world.nodes)
         if act < 0.45 and names:
             number += 1
-            world.submit(job(
-                number, team=rng.choice(["red", "blue"]), tasks=rng.randint(1, 9),
-                cpus=rng.choice([1.0, 4.0, 7.5]), run_s=rng.uniform(2, 40),
-                urgency=rng.choice(["high", "normal", "low"]),
-                same_place=rng.random() < 0.15, spread=rng.random() < 0.15,
-                borrowed=rng.random() < 0.8))
+            world.submit(
+                job(
+                    number,
+                    team=rng.choice(["red", "blue"]),
+                    tasks=rng.randint(1, 9),
+                    cpus=rng.choice([1.0, 4.0, 7.5]),
+                    run_s=rng.uniform(2, 40),
+                    urgency=rng.choice(["high", "normal", "low"]),
+                    same_place=rng.random() < 0.15,
+                    spread=rng.random() < 0.15,
+                    borrowed=rng.random() < 0.8,
+                )
+            )
         elif act < 0.55 and number and names:
             world.cancel(f"req-{rng.randint(1, number):06d}")
         elif act < 0.70 and number and names:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -26,40 +26,59 @@
 CONTACT = Contact("10.0.0.9:1", 3, 77)
 # Frames as the version in production packs them.
 FRAMES = [
-    (peer.Hello("n1"),
-     "63700301000000026e31"),
-    (peer.Beat(7, peer.NEVER),
-     "637003020000000c0000000000000007ffffffff"),
-    (peer.Ask(7, 9),
-     "637003030000001000000000000000070000000000000009"),
-    (peer.Promise(7, 9, True),
-     "63700304000000110000000000000007000000000000000901"),
-    (peer.Counts({"req-000001": 3}),
-     "637003050000000f0a000000037265712d303030303031"),
-    (peer.Handed(7, b"{}"),
-     "6370030600000006000000077b7d"),
-    (peer.Answered(7, 421, b""),
-     "63700307000000060000000701a5"),
-    (peer.Pull(3, 1 << 61, 9, 12),
-     "637003080000001c0000000000000003200000000000000000000009000000000000000c"),
-    (peer.Grant(3, 1 << 61, 9, 1400, 55, True, 4, (peer.Share(1, "n2", 7, 90, 12),)),
-     "637003090000004200000000000000032000000000000000000000090000057800000000000000370100"
-     "0000000000000401026e320100000007000000000000005a000000000000000c"),
-    (peer.Entries(3, 5, 0, 2, (
-        Entry("m-1", "box", "a", True, 1, 1 << 45, 2, True, False, True, False, False, CONTACT),
-        Entry("m-2", "box", "b", False, 255, 7, gone=True))),
-     "6370030a0000006700000000000000030000000000000005000000000000000000000000000000020002"
-     "036d2d3103626f780161010000200000000000028b0a31302e302e302e393a3100000000000000030000"
-     "00000000004d036d2d3203626f780162ff00000000000000070020"),
-    (peer.Statuses(3, 5, 2, 3, (
-        Status("m-1", 1 << 45, True, True, False, True, 1, False, 4.0, CONTACT),
-        Status("m-2", 7))),
-     "6370030b0000006100000000000000030000000000000005000000000000000200000000000000030002"
-     "036d2d3100002000000000002b01408000000a31302e302e302e393a3100000000000000030000000000"
-     "00004d036d2d32000000000000000700ff00000000"),
-    (peer.Wants(3, 1, 12, (("req-000001", 40, 2.5),)),
-     "6370030c00000026000000000000000301000000000000000c00010a7265712d30303030303100000028"
-     "40200000"),
+    (peer.Hello("n1"), "63700301000000026e31"),
+    (peer.Beat(7, peer.NEVER), "637003020000000c0000000000000007ffffffff"),
+    (peer.Ask(7, 9), "637003030000001000000000000000070000000000000009"),
+    (peer.Promise(7, 9, True), "63700304000000110000000000000007000000000000000901"),
+    (peer.Counts({"req-000001": 3}), "637003050000000f0a000000037265712d303030303031"),
+    (peer.Handed(7, b"{}"), "6370030600000006000000077b7d"),
+    (peer.Answered(7, 421, b""), "63700307000000060000000701a5"),
+    (
+        peer.Pull(3, 1 << 61, 9, 12),
+        "637003080000001c0000000000000003200000000000000000000009000000000000000c",
+    ),
+    (
+        peer.Grant(3, 1 << 61, 9, 1400, 55, True, 4, (peer.Share(1, "n2", 7, 90, 12),)),
+        "637003090000004200000000000000032000000000000000000000090000057800000000000000370100"
+        "0000000000000401026e320100000007000000000000005a000000000000000c",
+    ),
+    (
+        peer.Entries(
+            3,
+            5,
+            0,
+            2,
+            (
+                Entry(
+                    "m-1", "box", "a", True, 1, 1 << 45, 2, True, False, True, False, False, CONTACT
+                ),
+                Entry("m-2", "box", "b", False, 255, 7, gone=True),
+            ),
+        ),
+        "6370030a0000006700000000000000030000000000000005000000000000000000000000000000020002"
+        "036d2d3103626f780161010000200000000000028b0a31302e302e302e393a3100000000000000030000"
+        "00000000004d036d2d3203626f780162ff00000000000000070020",
+    ),
+    (
+        peer.Statuses(
+            3,
+            5,
+            2,
+            3,
+            (
+                Status("m-1", 1 << 45, True, True, False, True, 1, False, 4.0, CONTACT),
+                Status("m-2", 7),
+            ),
+        ),
+        "6370030b0000006100000000000000030000000000000005000000000000000200000000000000030002"
+        "036d2d3100002000000000002b01408000000a31302e302e302e393a3100000000000000030000000000"
+        "00004d036d2d32000000000000000700ff00000000",
+    ),
+    (
+        peer.Wants(3, 1, 12, (("req-000001", 40, 2.5),)),
+        "6370030c00000026000000000000000301000000000000000c00010a7265712d30303030303100000028"
+        "40200000",
+    ),
 ]
 
 # Records as it writes them, and what reads them here.
@@ -75,12 +94,18 @@
     ("c/live/req-000002", wire.JobRecord, '{"spec":' + SPEC + ',"at":1100.1}'),
     ("d/job/req-000002", wire.JobRecord, '{"final":"done","count":3}'),
     ("c/ends/0.0", dict[str, str], '{"req-000001":"Bg=="}'),
-    ("c/types", wire.MachineTypes,
-     '{"racks":[{"name":"box","cpus":16.0,"memory_gb":64.0,"price":1.0,"startup_s":10.0,'
-     '"halls":["a","b","c"],"cards":0.0,"local_gb":20.0,"fetch_gb_per_s":1.0,"low_price":0.4}]}'),
-    ("c/fleet", wire.FleetRecord,
-     '{"places":[{"type":"box","zone":"a","spot":true,"booked":{"b-1-1":1},"fresh":["m-000001",'
-     '"m-000004","m-000005"]},{"type":"box","zone":"c","spot":true,"up":["m-000003"]}]}'),
+    (
+        "c/types",
+        wire.MachineTypes,
+        '{"racks":[{"name":"box","cpus":16.0,"memory_gb":64.0,"price":1.0,"startup_s":10.0,'
+        '"halls":["a","b","c"],"cards":0.0,"local_gb":20.0,"fetch_gb_per_s":1.0,"low_price":0.4}]}',
+    ),
+    (
+        "c/fleet",
+        wire.FleetRecord,
+        '{"places":[{"type":"box","zone":"a","spot":true,"booked":{"b-1-1":1},"fresh":["m-000001",'
+        '"m-000004","m-000005"]},{"type":"box","zone":"c","spot":true,"up":["m-000003"]}]}',
+    ),
 ]
 
 
@@ -101,7 +126,8 @@
     theirs = getattr(old.wire, getattr(kind, "__name__", ""), kind)
     again = old.wire.decode(wire.encode(record), theirs)
     assert json.loads(old.wire.encode(again)) == json.loads(
-        old.wire.encode(old.wire.decode(raw.encode(), theirs)))
+        old.wire.encode(old.wire.decode(raw.encode(), theirs))
+    )
 
 
 def test_coming_limits_are_checked_and_the_lower_of_both_holds():
@@ -140,8 +166,9 @@
         return self.state.data["c/token"][1]
 
     def put(self, key, value):
-        self.state.transaction({"guards": [], "writes": [{"put": key, "value": value}]},
-                               lambda status, body: None)
+        self.state.transaction(
+            {"guards": [], "writes": [{"put": key, "value": value}]}, lambda status, body: None
+        )
         assert key in self.state.data
 
     def serve(self, call):
@@ -159,8 +186,9 @@
         token = self.win()
         held = self.stored()
         ledger = Ledger(self.out, rate, 5, 1.0)
-        made = Roster(ledger, lambda: token, 32768.0, 4 / rate, 12.0, least, 5,
-                      lambda: proven, limits_drop)
+        made = Roster(
+            ledger, lambda: token, 32768.0, 4 / rate, 12.0, least, 5, lambda: proven, limits_drop
+        )
         made.load(held.record, held.version, held.pages)
         made.begin(self.now)
         return made
@@ -196,8 +224,11 @@
         return (dict(reader.booked), dict(reader.places), set(reader.up))
 
 
-PLACES = [("caja-grande", zone, spot) for zone in ("monterrey", "guadalajara", "queretaro")
-          for spot in (True, False)]
+PLACES = [
+    ("caja-grande", zone, spot)
+    for zone in ("monterrey", "guadalajara", "queretaro")
+    for spot in (True, False)
+]
 
 
 def fill(service, roster, machines=550):
@@ -263,8 +294,12 @@
 def old_form(service, machines=400):
     """A fleet as the version in production stores it: one record, larger than the next limits."""
     places = [
-        {"type": p[0], "zone": p[1], "spot": p[2],
-         "up": [f"m-{n:06d}" for n in range(i, machines, 6)]}
+        {
+            "type": p[0],
+            "zone": p[1],
+            "spot": p[2],
+            "up": [f"m-{n:06d}" for n in range(i, machines, 6)],
+        }
         for i, p in enumerate(PLACES)
     ]
     places[0]["booked"] = {"b-1-7": 3}
@@ -304,8 +339,19 @@
     service = Service()
     old_form(service, 60)
     for number in range(9):
-        service.put(f"c/fleet/{number}", {"places": [
-            {"type": "caja-grande", "zone": "monterrey", "spot": True, "up": [f"x-{number}"]}]})
+        service.put(
+            f"c/fleet/{number}",
+            {
+                "places": [
+                    {
+                        "type": "caja-grande",
+                        "zone": "monterrey",
+                        "spot": True,
+                        "up": [f"x-{number}"],
+                    }
+                ]
+            },
+        )
     roster = service.roster(proven=False)
     roster.came_up(service.now, "m-new", PLACES[0])
     service.run(roster, 3.0)
@@ -375,8 +421,9 @@
     roster = service.roster()
     roster.came_up(service.now, "m-1", PLACES[0])
     service.run(roster, 2.0)
-    service.state.transaction({"guards": [], "writes": [{"remove": "c/fleet/0"}]},
-                              lambda status, body: None)
+    service.state.transaction(
+        {"guards": [], "writes": [{"remove": "c/fleet/0"}]}, lambda status, body: None
+    )
     roster.came_up(service.now, "m-2", PLACES[0])
     service.run(roster, 4.0)
     assert service.truth()[2] == {"m-1", "m-2"}
@@ -396,7 +443,8 @@
             self.cloud["b-1-7"] = [f"m-{next(self.numbers) + 900000:06d}" for _ in range(3)]
             self.marked = set(self.machines)
         self.service.fate = lambda body: self.rng.choices(
-            ["served", "answer lost", "late", "never"], [20, 1, 1, 1])[0]
+            ["served", "answer lost", "late", "never"], [20, 1, 1, 1]
+        )[0]
         self.lead()
 
     def lead(self):
@@ -502,8 +550,15 @@
     ends = []
     for n in range(120):
         value = "x" * 40000 if n == 33 else n
-        ledger.submit(service.now, Op({}, [wire.put(f"k/{n}", value)],
-                                      lambda now, how, rev, n=n: ends.append((n, how)), 999.0))
+        ledger.submit(
+            service.now,
+            Op(
+                {},
+                [wire.put(f"k/{n}", value)],
+                lambda now, how, rev, n=n: ends.append((n, how)),
+                999.0,
+            ),
+        )
     for _ in range(400):
         calls, service.out.calls = service.out.calls, []
         assert ledger.in_flight == len(calls) <= Ledger.IN_FLIGHT
@@ -520,8 +575,10 @@
     ledger = Ledger(service.out, 60.0, 16, 1.0)
     ends, sent = [], 0
     for n in range(150):
-        ledger.submit(service.now, Op({}, [wire.put(f"k/{n}", n)],
-                                      lambda now, how, rev: ends.append(how), 999.0, PLAIN))
+        ledger.submit(
+            service.now,
+            Op({}, [wire.put(f"k/{n}", n)], lambda now, how, rev: ends.append(how), 999.0, PLAIN),
+        )
     for _ in range(1200):
         calls, service.out.calls = service.out.calls, []
         sent += len(calls)
@@ -565,8 +622,17 @@
     see_ends(service, table, versions)
     service.out.calls.clear()
     token = service.state.data["c/token"][1]
-    return Progress(table, Ledger(service.out, 60.0, 5, 1.0), lambda: token, versions, 0,
-                    0.8 * 2048, 0.1, 12.0, 0.8 * 32768)
+    return Progress(
+        table,
+        Ledger(service.out, 60.0, 5, 1.0),
+        lambda: token,
+        versions,
+        0,
+        0.8 * 2048,
+        0.1,
+        12.0,
+        0.8 * 32768,
+    )
 
 
 def gather(service, progress, seconds=3.0):
@@ -681,8 +747,10 @@
     world.submit(job(1))
     calls = []
     handle = world.cloud.handle
-    world.cloud.handle = lambda method, path, *rest: (calls.append(path),
-                                                      handle(method, path, *rest))
+    world.cloud.handle = lambda method, path, *rest: (
+        calls.append(path),
+        handle(method, path, *rest),
+    )
     world.run(20.0)
     assert "c/types" not in world.state.data and calls.count("/machine_types") <= 6
     assert not world.broken
@@ -723,8 +791,7 @@
     world.check_sums()
 
 
-@pytest.mark.parametrize("order", list(itertools.permutations(["n0", "n1", "n2"])),
-                         ids="-".join)
+@pytest.mark.parametrize("order", list(itertools.permutations(["n0", "n1", "n2"])), ids="-".join)
 def test_a_roll_in_each_order_while_jobs_run_and_limits_that_drop_after_the_last_turn(order):
     world = rolled(order, seed=sum(map(ord, order[0])) + 7 * int(order[1][1]))
     for number, name in enumerate(order, 5):
@@ -791,9 +858,12 @@
     seen, handle = [], world.state.transaction
 
     def transaction(txn, reply):
-        pages = [w for w in txn["writes"]
-                 if w.get("put", w.get("remove", "")).startswith("c/fleet/")
-                 or w.get("remove") == "c/fleet"]
+        pages = [
+            w
+            for w in txn["writes"]
+            if w.get("put", w.get("remove", "")).startswith("c/fleet/")
+            or w.get("remove") == "c/fleet"
+        ]
         if pages and "c/fleet" in world.state.data:
             seen.append(pages)
             if len(seen) == 1:
--- a/tests/world.py
+++ b/tests/world.py
@@ -19,8 +19,15 @@
 from copperpass.core.ports import Outcome
 
 TYPE = {
-    "name": "box", "cpus": 16.0, "cards": 0.0, "memory_gb": 64.0, "local_gb": 20.0,
-    "fetch_gb_per_s": 1.0, "price": 1.0, "low_price": 0.4, "startup_s": 10.0,
+    "name": "box",
+    "cpus": 16.0,
+    "cards": 0.0,
+    "memory_gb": 64.0,
+    "local_gb": 20.0,
+    "fetch_gb_per_s": 1.0,
+    "price": 1.0,
+    "low_price": 0.4,
+    "startup_s": 10.0,
     "halls": ["a", "b", "c"],
 }
 
@@ -29,16 +36,27 @@
 LIMITS = {"write_rps": 60.0, "value_kb": 32.0, "txn_ops": 16}
 
 
-def raw_settings(index=0, nodes=3, lease_s=12.0, cancel_s=40.0, cores=1.0, coming=None,
-                 gang_wait_s=42.0, gang_peer_s=4.0):
+def raw_settings(
+    index=0,
+    nodes=3,
+    lease_s=12.0,
+    cancel_s=40.0,
+    cores=1.0,
+    coming=None,
+    gang_wait_s=42.0,
+    gang_peer_s=4.0,
+):
     names = [f"n{i}" for i in range(nodes)]
     zones = ["a", "b", "c"]
     return {
-        "member": names[index], "domain": zones[index % 3],
-        "serve_on": f"127.0.0.1:{9000 + index}", "internal_addr": f"127.0.0.1:{9100 + index}",
+        "member": names[index],
+        "domain": zones[index % 3],
+        "serve_on": f"127.0.0.1:{9000 + index}",
+        "internal_addr": f"127.0.0.1:{9100 + index}",
         "members": [
             {"member": n, "domain": zones[i % 3], "addr": f"127.0.0.1:{9100 + i}"}
-            for i, n in enumerate(names) if i != index
+            for i, n in enumerate(names)
+            if i != index
         ],
         "external": {"cloud": "127.0.0.1:9200", "state": "127.0.0.1:9201"},
         "new_and_unknown": 1,
@@ -53,8 +71,13 @@
                 {"kind": "finished", "class": "slow", "within_s": 200.0, "share": 0.9},
                 {"kind": "guarantee", "within_s": 5.0, "share": 0.9},
             ],
-            "workers": {"report_s": 1.0, "lease_s": lease_s, "cancel_s": cancel_s,
-                        "gang_wait_s": gang_wait_s, "gang_peer_s": gang_peer_s},
+            "workers": {
+                "report_s": 1.0,
+                "lease_s": lease_s,
+                "cancel_s": cancel_s,
+                "gang_wait_s": gang_wait_s,
+                "gang_peer_s": gang_peer_s,
+            },
             "state": {"rps": 200.0, **LIMITS, **({"next": coming} if coming else {})},
             "cloud": {"rps": 8.0, "list_lag_s": 3.0},
             "resources": {"cores": cores},
@@ -64,10 +87,25 @@
 
 def job(number, team="red", tasks=2, cpus=4.0, run_s=10.0, **more):
     body = {
-        "id": f"req-{number:06d}", "slot": "quick", "desk": team, "form": "batch",
-        "urgency": "high", "pages": tasks, "cpus": cpus, "cards": 0.0, "memory_gb": 8.0,
-        "master": "img-1", "size_gb": 0.5, "racks": None, "hall": None, "same_place": False,
-        "spread": False, "borrowed": True, "runtime_s": run_s, "proof_s": 0.0, "flush_s": 0.0,
+        "id": f"req-{number:06d}",
+        "slot": "quick",
+        "desk": team,
+        "form": "batch",
+        "urgency": "high",
+        "pages": tasks,
+        "cpus": cpus,
+        "cards": 0.0,
+        "memory_gb": 8.0,
+        "master": "img-1",
+        "size_gb": 0.5,
+        "racks": None,
+        "hall": None,
+        "same_place": False,
+        "spread": False,
+        "borrowed": True,
+        "runtime_s": run_s,
+        "proof_s": 0.0,
+        "flush_s": 0.0,
         "edition_s": None,
     }
     body.update(more)
@@ -76,8 +114,12 @@
 
 def gang(number, tasks=4, cpus=8.0, **more):
     """A job whose tasks run together: by default on two machines of one zone."""
-    return job(number, tasks=tasks, cpus=cpus,
-               **{"form": "ensemble", "same_place": True, "proof_s": 5.0, "flush_s": 1.0, **more})
+    return job(
+        number,
+        tasks=tasks,
+        cpus=cpus,
+        **{"form": "ensemble", "same_place": True, "proof_s": 5.0, "flush_s": 1.0, **more},
+    )
 
 
 class State:
@@ -101,8 +143,10 @@
         writes, limits = txn["writes"], self.limits
         sizes = [len(json.dumps(w["value"])) for w in writes if "put" in w]
         self.largest = max([self.largest, *sizes])
-        if len(writes) > limits["txn_ops"] or len(txn["guards"]) > 4 * limits["txn_ops"] or (
-            max(sizes, default=0) > 1024 * limits["value_kb"]
+        if (
+            len(writes) > limits["txn_ops"]
+            or len(txn["guards"]) > 4 * limits["txn_ops"]
+            or (max(sizes, default=0) > 1024 * limits["value_kb"])
         ):
             self.too_large += 1
             return 400
@@ -142,17 +186,29 @@
             if found is None:
                 reply(404, b"{}")
             else:
-                reply(200, json.dumps(
-                    {"path": path[4:], "value": found[0], "stamp": found[1]}).encode())
+                reply(
+                    200,
+                    json.dumps({"path": path[4:], "value": found[0], "stamp": found[1]}).encode(),
+                )
         elif path.startswith("/kv?"):
             query = dict(part.split("=") for part in path[4:].split("&"))
-            keys = sorted(k for k in self.data
-                          if k.startswith(query["under"]) and k > query.get("since", ""))
+            keys = sorted(
+                k for k in self.data if k.startswith(query["under"]) and k > query.get("since", "")
+            )
             page = keys[: int(query["most"])]
-            reply(200, json.dumps({
-                "items": [{"path": k, "value": self.data[k][0], "stamp": self.data[k][1]}
-                          for k in page],
-                "truncated": len(keys) > len(page), "issue": self.revision}).encode())
+            reply(
+                200,
+                json.dumps(
+                    {
+                        "items": [
+                            {"path": k, "value": self.data[k][0], "stamp": self.data[k][1]}
+                            for k in page
+                        ],
+                        "truncated": len(keys) > len(page),
+                        "issue": self.revision,
+                    }
+                ).encode(),
+            )
         elif path.startswith("/follow"):
             query = dict(part.split("=") for part in path.split("?")[1].split("&"))
             watch = [query["under"], int(query["since"]), reply, asker]
@@ -188,8 +244,11 @@
         if any(w.get("permit") is not None and w["permit"] not in self.leases for w in writes):
             reply(400, b'{"error":"no such lease"}')
             return
-        failed = [g["path"] for g in txn["guards"]
-                  if self.data.get(g["path"], (None, 0, None))[1] != g["stamp"]]
+        failed = [
+            g["path"]
+            for g in txn["guards"]
+            if self.data.get(g["path"], (None, 0, None))[1] != g["stamp"]
+        ]
         if failed:
             reply(409, json.dumps({"failed": failed, "issue": self.revision}).encode())
             return
@@ -243,8 +302,11 @@
         mark.update(state="gathering", at=self.world.now)
         self.members[worker, key] = mark
         self.world.started(worker, key[0], self.spec)
-        others = [g for (j, a), g in self.world.gangs.items()
-                  if j == self.job_id and a != self.attempt and g.members]
+        others = [
+            g
+            for (j, a), g in self.world.gangs.items()
+            if j == self.job_id and a != self.attempt and g.members
+        ]
         if others:
             self.world.broken.append(f"two_attempts: {key} beside {others[0].attempt}")
         if key[0] in self.world.completed:
@@ -253,7 +315,8 @@
         if worker.sick or self.spec.get("broken"):
             self.world.after(0.2, lambda: self.leave(worker, key, mark, "error"))
         self.world.after(
-            self.world.gang_wait_s, lambda: self.leave(worker, key, mark, "alone", "gathering"))
+            self.world.gang_wait_s, lambda: self.leave(worker, key, mark, "alone", "gathering")
+        )
         self.begin()
 
     def begin(self):
@@ -271,12 +334,16 @@
 
     def leave(self, worker, key, mark, why, only=None, **more):
         """Exit by itself, once its machine executes it."""
-        if worker.tasks.get(key) is not mark or mark["state"] == "exited" or (
-                only and mark["state"] != only):
+        if (
+            worker.tasks.get(key) is not mark
+            or mark["state"] == "exited"
+            or (only and mark["state"] != only)
+        ):
             return
         if worker.hung_for():
-            self.world.after(worker.hung_for() + 0.01,
-                             lambda: self.leave(worker, key, mark, why, only, **more))
+            self.world.after(
+                worker.hung_for() + 0.01, lambda: self.leave(worker, key, mark, why, only, **more)
+            )
             return
         if why == "alone":
             self.world.alone.add((self.job_id, self.attempt))
@@ -287,7 +354,8 @@
     def length(self):
         if self.job_id not in self.world.lengths:
             self.world.lengths[self.job_id] = (
-                self.world.gang_rng.uniform(0.5, 1.5) * self.spec["runtime_s"])
+                self.world.gang_rng.uniform(0.5, 1.5) * self.spec["runtime_s"]
+            )
         return self.world.lengths[self.job_id]
 
     def go(self):
@@ -331,8 +399,7 @@
         within = self.world.gang_peer_s if within is None else within
         for (worker, key), mark in self.members.items():
             wait = self.world.gang_rng.uniform(0.3, 1.0) * within
-            self.world.after(wait, functools.partial(
-                self.leave, worker, key, mark, "mates_gone"))
+            self.world.after(wait, functools.partial(self.leave, worker, key, mark, "mates_gone"))
 
     def fall_back(self):
         self.rest()
@@ -347,8 +414,12 @@
         wait = self.world.gang_rng.uniform(0.3, 0.7) * within
 
         def notice():
-            if (worker.hung_for() and worker.hung_until == until and not self.safe
-                    and any(w is worker for w, _ in self.members)):
+            if (
+                worker.hung_for()
+                and worker.hung_until == until
+                and not self.safe
+                and any(w is worker for w, _ in self.members)
+            ):
                 self.fail(within - wait)
 
         self.world.after(wait, notice)
@@ -426,8 +497,13 @@
     def lost(self, why):
         """The service has thrown progress away that it could have kept."""
         loss = self.progress - self.checkpoint()
-        if (self.started and not (self.broken or self.safe or self.over) and loss > 1e-6
-                and self.spec["proof_s"] > 0 and self.job_id not in self.world.unwanted):
+        if (
+            self.started
+            and not (self.broken or self.safe or self.over)
+            and loss > 1e-6
+            and self.spec["proof_s"] > 0
+            and self.job_id not in self.world.unwanted
+        ):
             self.world.lost_saves.append((self.job_id, self.attempt, why, round(loss, 3)))
 
 
@@ -503,10 +579,20 @@
                 if t.get("saved"):
                     entry["saved"] = True
             tasks.append(entry)
-        return json.dumps({
-            "press": self.name, "address": self.name, "rack": "box", "hall": self.zone,
-            "borrowed": self.spot, "shift": self.session, "line": self.seq, "baton": self.token,
-            "recall_s": self.notice, "pages": tasks}).encode()
+        return json.dumps(
+            {
+                "press": self.name,
+                "address": self.name,
+                "rack": "box",
+                "hall": self.zone,
+                "borrowed": self.spot,
+                "shift": self.session,
+                "line": self.seq,
+                "baton": self.token,
+                "recall_s": self.notice,
+                "pages": tasks,
+            }
+        ).encode()
 
     def report(self):
         if not self.alive:
@@ -640,8 +726,11 @@
 
     def on_it(self):
         """The tasks that are on this machine: from the image to the exit."""
-        return [k[0] for k, t in self.tasks.items()
-                if t["state"] in ("gathering", "running", "flushing")]
+        return [
+            k[0]
+            for k, t in self.tasks.items()
+            if t["state"] in ("gathering", "running", "flushing")
+        ]
 
     def in_state(self, state):
         return [k for k, t in self.tasks.items() if t["state"] == state]
@@ -676,12 +765,27 @@
                 self.take(name)
             reply(200, b"{}")
         else:
-            reply(200, json.dumps({"presses": [
-                {"id": n, "address": n, "rack": "box", "hall": m["place"][0],
-                 "borrowed": m["place"][1], "held_s": self.world.now - m["at"],
-                 "status": "running" if m["worker"] else "starting"}
-                for n, m in sorted(self.machines.items()) if self.world.now - m["at"] > 3.0
-            ], "truncated": False}).encode())
+            reply(
+                200,
+                json.dumps(
+                    {
+                        "presses": [
+                            {
+                                "id": n,
+                                "address": n,
+                                "rack": "box",
+                                "hall": m["place"][0],
+                                "borrowed": m["place"][1],
+                                "held_s": self.world.now - m["at"],
+                                "status": "running" if m["worker"] else "starting",
+                            }
+                            for n, m in sorted(self.machines.items())
+                            if self.world.now - m["at"] > 3.0
+                        ],
+                        "truncated": False,
+                    }
+                ).encode(),
+            )
 
     def rent(self, place):
         name = f"m-{next(self.names):06d}"
@@ -732,8 +836,18 @@
 class World:
     """The clock, the network and the checks of the rules."""
 
-    def __init__(self, seed=1, nodes=3, lease_s=12.0, cancel_s=40.0, parted=False, coming=None,
-                 versions=None, gang_wait_s=None, gang_peer_s=4.0):
+    def __init__(
+        self,
+        seed=1,
+        nodes=3,
+        lease_s=12.0,
+        cancel_s=40.0,
+        parted=False,
+        coming=None,
+        versions=None,
+        gang_wait_s=None,
+        gang_peer_s=4.0,
+    ):
         # The limits that the settings announce; the older version that a member's next process
         # runs (`tests/production.py`), by name; and those of the processes there are.
         self.coming, self.versions = coming, versions if versions is not None else {}
@@ -842,8 +956,15 @@
         self.life[name] += 1
         index = self.names.index(name)
         raw = raw_settings(
-            index, len(self.names), self.lease_s, self.cancel_s, self.cores, self.coming,
-            self.gang_wait_s, self.gang_peer_s)
+            index,
+            len(self.names),
+            self.lease_s,
+            self.cancel_s,
+            self.cores,
+            self.coming,
+            self.gang_wait_s,
+            self.gang_peer_s,
+        )
         seed, version = self.rng.getrandbits(32), self.versions.get(name)
         self.running[name] = version
         if version is not None:
@@ -886,8 +1007,10 @@
                 reply(0, b"{}")
                 return
             asker = WorkerRequest(
-                lambda status, body: self.carry(name, sender, lambda: reply(status, body),
-                                                back=True))
+                lambda status, body: self.carry(
+                    name, sender, lambda: reply(status, body), back=True
+                )
+            )
             node.report(self.now, asker, body)
             self.drain(name)
 
@@ -951,15 +1074,23 @@
             if call.service == "state":
                 if name in self.refused:
                     reply(503, b"{}")
-                elif call.path == "/multi" and self.late_writes and (
-                    self.rng.random() < self.late_writes
+                elif (
+                    call.path == "/multi"
+                    and self.late_writes
+                    and (self.rng.random() < self.late_writes)
                 ):
                     # No answer, and carried out late, after newer ones.
-                    self.after(self.rng.uniform(2.0, 12.0), lambda: self.state.handle(
-                        call.method, call.path, call.body, lambda status, body: None))
+                    self.after(
+                        self.rng.uniform(2.0, 12.0),
+                        lambda: self.state.handle(
+                            call.method, call.path, call.body, lambda status, body: None
+                        ),
+                    )
                 elif self.slow_state:
-                    self.after(self.rng.uniform(0.0, self.slow_state), lambda: self.state.handle(
-                        call.method, call.path, call.body, reply))
+                    self.after(
+                        self.rng.uniform(0.0, self.slow_state),
+                        lambda: self.state.handle(call.method, call.path, call.body, reply),
+                    )
                 else:
                     if name in self.stuck and call.path.startswith(("/follow", "/kv?")):
                         return
@@ -992,7 +1123,8 @@
     def submit(self, spec, name=None):
         self.specs[spec["id"]] = spec
         return self.ask(
-            lambda desk, user: desk.submit(self.now, user, json.dumps(spec).encode()), name)
+            lambda desk, user: desk.submit(self.now, user, json.dumps(spec).encode()), name
+        )
 
     def poll(self, job_id, name=None):
         return self.ask(lambda desk, user: desk.poll(self.now, user, job_id), name)
@@ -1035,8 +1167,10 @@
                 self.broken.append(f"ran_twice: {task}")
         team = spec["desk"]
         used = sum(
-            self.specs[t.split("/")[0]]["cpus"] for w in self.cloud.workers()
-            for t in w.on_it() if self.specs[t.split("/")[0]]["desk"] == team
+            self.specs[t.split("/")[0]]["cpus"]
+            for w in self.cloud.workers()
+            for t in w.on_it()
+            if self.specs[t.split("/")[0]]["desk"] == team
         )
         limit = {"red": 64.0, "blue": 48.0}[team]
         if used > limit + 1e-6:
@@ -1045,8 +1179,9 @@
             self.broken.append(f"wrong_place: {task}")
         if spec.get("hall") not in (None, worker.zone):
             self.broken.append(f"wrong_place: {task}")
-        zones = [w.zone for w in self.cloud.workers() for t in w.on_it()
-                 if t.split("/")[0] == job_id]
+        zones = [
+            w.zone for w in self.cloud.workers() for t in w.on_it() if t.split("/")[0] == job_id
+        ]
         if spec["same_place"] and len(set(zones)) > 1:
             self.broken.append(f"wrong_place: {task} {zones}")
         if spec["spread"] and zones.count(worker.zone) > (spec["pages"] + 1) // 2:
@@ -1063,20 +1198,32 @@
         for node in self.nodes.values():
             for owner in node.owners:
                 for team in owner.by_team:
-                    active = [p for m in owner.machines.values() for p in m.tasks.values()
-                              if p.active and p.team == team]
+                    active = [
+                        p
+                        for m in owner.machines.values()
+                        for p in m.tasks.values()
+                        if p.active and p.team == team
+                    ]
                     counted = sum(p.cpus for p in active), sum(p.gpus for p in active)
                     kept = owner.tally.of(team)
                     assert all(abs(a - b) < 1e-6 for a, b in zip(kept, counted, strict=True))
-                ghosts = {m.name for m in owner.machines.values()
-                          for p in m.tasks.values() if p.active and p.team == GHOST}
+                ghosts = {
+                    m.name
+                    for m in owner.machines.values()
+                    for p in m.tasks.values()
+                    if p.active and p.team == GHOST
+                }
                 assert owner.tally.ghosts == ghosts
                 assert owner.unsettled <= set(owner.machines)
 
     def check_owners(self):
         """No pool has two members that may command its machines, whoever leads or has led."""
-        owned = [(o.pool, n) for n, node in self.nodes.items()
-                 for o in node.owners if node.holder.entitled(self.now)]
+        owned = [
+            (o.pool, n)
+            for n, node in self.nodes.items()
+            for o in node.owners
+            if node.holder.entitled(self.now)
+        ]
         assert len({pool for pool, _ in owned}) == len(owned), f"two owners: {owned}"
 
     def check_starved(self, bound=90.0):
@@ -1093,10 +1240,15 @@
             ended = all(f"{job_id}/{i}" in self.completed for i in range(spec["pages"]))
             limit = {"red": 64.0, "blue": 48.0}[spec["desk"]]
             fits = used[spec["desk"]] + spec["cpus"] <= limit and any(
-                w.alive and sum(t["cpus"] for t in w.tasks.values() if t["state"] != "exited")
-                + spec["cpus"] <= 16.0 and (spec["borrowed"] or not w.spot)
-                and spec["hall"] in (None, w.zone) and w.notice is None
-                for w in self.cloud.workers())
+                w.alive
+                and sum(t["cpus"] for t in w.tasks.values() if t["state"] != "exited")
+                + spec["cpus"]
+                <= 16.0
+                and (spec["borrowed"] or not w.spot)
+                and spec["hall"] in (None, w.zone)
+                and w.notice is None
+                for w in self.cloud.workers()
+            )
             if ended or job_id in self.cancelled or job_id in on or not fits:
                 self.waits.pop(job_id, None)
             elif self.now - self.waits.setdefault(job_id, self.now) > bound:
@@ -1121,8 +1273,11 @@
             if asked and self.now >= asked:
                 self.check_known()
                 asked = 0.0
-            left = [j for j in self.told if j not in self.cancelled
-                    and f"d/job/{j}" not in self.state.data]
+            left = [
+                j
+                for j in self.told
+                if j not in self.cancelled and f"d/job/{j}" not in self.state.data
+            ]
             if not left:
                 break
         self.check_known()
