--- a/src/copperpass/core/authority.py
+++ b/src/copperpass/core/authority.py
@@ -22,8 +22,8 @@
 import msgspec
 
 from copperpass import peer, wire
-from copperpass.core.ledger import APPLIED, CONFLICT, UNKNOWN, URGENT, Ledger, Op
 from copperpass.core.ports import Call, Outbox, Outcome
+from copperpass.core.transactions import APPLIED, CONFLICT, UNKNOWN, URGENT, Op, TransactionQueue
 from copperpass.settings import Cluster, SettingsError
 
 DRIFT = 0.0005
@@ -77,7 +77,7 @@
         others: list[str],
         times: Times,
         out: Outbox,
-        ledger: Ledger,
+        transactions: TransactionQueue,
         rng: random.Random,
         on_change: Callable[[float, bool, bool], None],
         now: float,
@@ -86,7 +86,7 @@
     ) -> None:
         self.member, self.others, self.times = member, others, times
         self.ttl = times.ttl
-        self.out, self.ledger, self.rng = out, ledger, rng
+        self.out, self.transactions, self.rng = out, transactions, rng
         self.on_change = on_change
         # What was confirmed before this moment is known here.
         self.fresh_at = fresh_at
@@ -107,7 +107,7 @@
         self.token = 0
         self.win_revision = 0
         self.lease_until = 0.0
-        self.bridge_until = 0.0
+        self.extension_until = 0.0
         self.lease: int | None = None
         self.next_renewal = 0.0
         self.renewing = False
@@ -176,7 +176,7 @@
 
     def entitled(self, now: float) -> bool:
         """Whether this node may act for the controllers at this moment."""
-        backed = now < self.lease_until or self.bridged(now)
+        backed = now < self.lease_until or self.extended(now)
         return self.leading and backed and now < self.fresh_until()
 
     def remaining(self, now: float) -> float:
@@ -184,15 +184,15 @@
         if not self.leading:
             return 0.0
         promised = min((self.promised.get(o, 0.0) for o in self.others), default=float("inf"))
-        backed = max(self.lease_until, min(promised, self.bridge_until))
+        backed = max(self.lease_until, min(promised, self.extension_until))
         return max(0.0, min(backed, self.fresh_until()) - now)
 
-    def bridged(self, now: float) -> bool:
+    def extended(self, now: float) -> bool:
         """Whether the others' promises carry the authority without the key."""
         backed = all(now < self.promised.get(other, 0.0) for other in self.others)
-        return self.leading and backed and now < self.bridge_until
+        return self.leading and backed and now < self.extension_until
 
-    def bridging(self, now: float) -> bool:
+    def extending(self, now: float) -> bool:
         """Whether only promises carry the authority."""
         return self.leading and now >= self.lease_until
 
@@ -224,7 +224,7 @@
         if self.leading:
             self.out.log("info", "stepping down", why=why, token=self.token)
             self.leading = False
-            self.lease_until = self.bridge_until = 0.0
+            self.lease_until = self.extension_until = 0.0
             self.promised.clear()
             self.asked.clear()
             self.on_change(now, False, False)
@@ -253,7 +253,7 @@
 
     def received(self, now: float, sender: str, frame: peer.Frame) -> None:
         """Take a frame of the election."""
-        if isinstance(frame, peer.Ask):
+        if isinstance(frame, peer.PromiseRequest):
             granted = self._may_promise(frame.token)
             if granted:
                 self.promise_until = now + self.times.promise
@@ -287,7 +287,7 @@
         for old in [n for n, at in self.asked.items() if now - at > self.times.promise]:
             del self.asked[old]
         for other in self.others:
-            self.out.send(other, peer.Ask(self.token, self.number))
+            self.out.send(other, peer.PromiseRequest(self.token, self.number))
 
     # -- campaign -----------------------------------------------------------------
 
@@ -312,7 +312,7 @@
         self.new_lease = made.lease
         token = self.counter + 1
         record = wire.LeadRecord(self.member, token, made.lease)
-        self.ledger.submit(
+        self.transactions.submit(
             now,
             Op(
                 {LEAD: 0, TOKEN: self.counter_version},
@@ -342,7 +342,7 @@
             self.promised.clear()
             self.asked.clear()
             self.lease_until = valid
-            self.bridge_until = self.new_lease_sent + self.times.bridge
+            self.extension_until = self.new_lease_sent + self.times.bridge
             self.next_renewal = self.new_lease_sent + self.ttl / 4
             self.next_ask = now
             self.out.log("info", "leading", token=token, continued=continued)
@@ -387,7 +387,7 @@
             return
         if outcome.status == 200:
             self.lease_until = max(self.lease_until, sent + self.ttl * (1 - 2 * DRIFT))
-            self.bridge_until = max(self.bridge_until, sent + self.times.bridge)
+            self.extension_until = max(self.extension_until, sent + self.times.bridge)
         elif outcome.status == 404:
             self.lease, self.lease_until = None, min(self.lease_until, now)
         else:
--- a/src/copperpass/core/landlord.py
+++ b/src/copperpass/core/cluster_manager.py
@@ -22,10 +22,10 @@
     Table,
     base_token,
 )
+from copperpass.core.fleet_store import FLEET, FleetStore, StoredFleet, page_number
 from copperpass.core.jobs import Job, JobTable
-from copperpass.core.ledger import Budget, Ledger
 from copperpass.core.ports import NO_ANSWER, Call, Outbox, Outcome
-from copperpass.core.roster import FLEET, Roster, Stored, page_number
+from copperpass.core.transactions import Budget, TransactionQueue
 from copperpass.settings import Cluster
 from copperpass.tuning import Tuning
 
@@ -37,7 +37,7 @@
 
 
 @dataclass(slots=True)
-class Held:
+class ManagedMachine:
     """A rented machine, as the leader sees it."""
 
     entry: Entry
@@ -91,7 +91,7 @@
 
 
 @dataclass(slots=True)
-class Tenant:
+class Grantee:
     """A member that may own pools."""
 
     incarnation: int = 0
@@ -103,18 +103,18 @@
     inbox: Inbox = field(default_factory=Inbox)
 
 
-class Landlord:
+class ClusterManager:
     """Acts under one authority; a new one is made for each win that isn't a continuation."""
 
     def __init__(
         self,
         cluster: Cluster,
         out: Outbox,
-        ledger: Ledger,
+        transactions: TransactionQueue,
         jobs: JobTable,
         types: dict[str, wire.MachineType],
         authority: Authority,
-        fleet: Stored,
+        fleet: StoredFleet,
         pools: dict[str, int],
         hints: dict[str, Entry],
         owners: dict[int, str],
@@ -124,7 +124,7 @@
         tuning: Tuning,
         proven: Callable[[], bool] = lambda: False,
     ) -> None:
-        self.cluster, self.out, self.ledger, self.jobs = cluster, out, ledger, jobs
+        self.cluster, self.out, self.transactions, self.jobs = cluster, out, transactions, jobs
         self.types, self.authority, self.tuning = types, authority, tuning
         self.member = authority.member
         self.epoch = authority.token
@@ -138,13 +138,13 @@
         self.report_s = cluster.workers.report_s
         self.lease_s = certain_lease_s(cluster)
         self.table: Table[Entry] = Table()
-        self.machines: dict[str, Held] = {}
+        self.machines: dict[str, ManagedMachine] = {}
         self.gone: dict[str, float] = {}
         self.handover = 0
         # The table's number when a machine was last added to each pool.
         self.added: dict[int, int] = {}
-        self.tenants: dict[str, Tenant] = {}
-        self.tenants[self.member] = Tenant(incarnation, now, now, float("inf"))
+        self.grantees: dict[str, Grantee] = {}
+        self.grantees[self.member] = Grantee(incarnation, now, now, float("inf"))
         self.pools: dict[int, Pool] = {}
         for team, number in pools.items():
             self.pools.setdefault(number, Pool(number, [])).teams.append(team)
@@ -152,8 +152,8 @@
         # When a pool last changed hands of the leader's own will.
         self.passed_at = now
         state = cluster.state
-        self.roster = Roster(
-            ledger,
+        self.fleet_store = FleetStore(
+            transactions,
             self.token_version,
             state.value_kb * 1024,
             4 / state.least_write_rps,
@@ -164,8 +164,8 @@
             state.next is not None,
         )
         self.saw_fleet(fleet)
-        self.roster.on_stored = self._marked_up
-        self.paged = self.roster.paged
+        self.fleet_store.on_stored = self._marked_up
+        self.paged = self.fleet_store.paged
         self.aims = dispatch.Aims(cluster.objectives, tuning.patience_s)
         self.scarce = dispatch.Scarce(types, tuning.keep_scarce_s)
         self.refusals = rental.Refusals()
@@ -199,21 +199,21 @@
     def begin(self, now: float) -> None:
         """The view has caught up with the win: know the machines that may hold tasks."""
         self.ready = True
-        for name, place in self.roster.places.items():
+        for name, place in self.fleet_store.places.items():
             if place[0] in self.types and name not in self.gone:
                 hint = self.hints.get(name)
                 known = hint is not None and not hint.gone
                 pool = hint.pool if hint is not None and known else UNPOOLED
                 contact = hint.contact if hint is not None and known else None
                 self._add(now, name, place, pool, ANYBODY, contact)
-        for request, (place, count) in list(self.roster.booked.items()):
+        for request, (place, count) in list(self.fleet_store.booked.items()):
             # It may have been carried out: asked again, it names what it brought.
             pool = self._neediest()
             self.renting[request] = (place, count, pool)
             self._book(now, place, count, request, 3)
-        self.roster.begin(now)
+        self.fleet_store.begin(now)
 
-    def saw_fleet(self, fleet: Stored, key: str = FLEET, version: int = 0) -> None:
+    def saw_fleet(self, fleet: StoredFleet, key: str = FLEET, version: int = 0) -> None:
         """The watch brings a change of the fleet's records.
 
         Until this term begins it may be a late write of an earlier leader's; afterwards only this
@@ -221,11 +221,11 @@
         """
         number = page_number(key)
         if not self.ready:
-            self.roster.load(fleet.record, fleet.version, fleet.pages)
+            self.fleet_store.load(fleet.record, fleet.version, fleet.pages)
         elif number is None:
-            self.roster.saw(fleet.version)
+            self.fleet_store.saw(fleet.version)
         else:
-            self.roster.saw_page(number, version, number in fleet.pages)
+            self.fleet_store.saw_page(number, version, number in fleet.pages)
 
     def _marked_up(self, now: float, names: set[str]) -> None:
         for name in names:
@@ -233,7 +233,7 @@
             if held is not None:
                 self._set(held, recorded=True)
 
-    def _set(self, held: Held, **changes: object) -> None:
+    def _set(self, held: ManagedMachine, **changes: object) -> None:
         held.entry = replace(held.entry, **changes)  # type: ignore[arg-type]
         self.table.put(held.entry)
 
@@ -249,8 +249,8 @@
         pool: int,
         may_hold: int,
         contact: Contact | None = None,
-    ) -> Held:
-        recorded = name in self.roster.stored
+    ) -> ManagedMachine:
+        recorded = name in self.fleet_store.stored
         base = self._next_base()
         entry = Entry(
             name,
@@ -263,7 +263,7 @@
             recorded,
             contact=contact,
         )
-        held = Held(entry, self.types[place[0]], now, Status(name, base))
+        held = ManagedMachine(entry, self.types[place[0]], now, Status(name, base))
         self.machines[name] = held
         self.table.put(entry)
         self.added[pool] = self.table.seq
@@ -271,30 +271,30 @@
 
     # -- grants ------------------------------------------------------------------------
 
-    def pulled(self, now: float, sender: str, pull: peer.Pull) -> peer.Grant | None:
+    def pulled(self, now: float, sender: str, pull: peer.GrantRequest) -> peer.Grant | None:
         """A member asks to have its grants extended."""
         if pull.epoch != self.epoch or not self.authority.entitled(now):
             return None
-        tenant = self.tenants.setdefault(sender, Tenant())
-        if tenant.incarnation != pull.incarnation or tenant.feed is None:
+        grantee = self.grantees.setdefault(sender, Grantee())
+        if grantee.incarnation != pull.incarnation or grantee.feed is None:
             # It has just started, or has just come under this term: it holds nothing.
-            if tenant.incarnation not in (0, pull.incarnation):
+            if grantee.incarnation not in (0, pull.incarnation):
                 # Its old grants are waited out all the same: a pull held back on an old connection
                 # looks just like a restart.
                 for pool in self.pools.values():
                     if pool.owner == sender:
-                        self._disown(now, pool, tenant.granted_until)
-            tenant.incarnation, tenant.since = pull.incarnation, now
-            tenant.feed, tenant.inbox = Feed(self.table), Inbox()
-        tenant.heard = now
-        tenant.feed.acknowledged(pull.applied)
+                        self._disown(now, pool, grantee.granted_until)
+            grantee.incarnation, grantee.since = pull.incarnation, now
+            grantee.feed, grantee.inbox = Feed(self.table), Inbox()
+        grantee.heard = now
+        grantee.feed.acknowledged(pull.applied)
         self._share_out(now)
         # A grant never outlasts the authority behind it.
         length = max(0.0, min(self.grant_s, self.authority.remaining(now) * (1 - 2 * DRIFT)))
         # Recorded whether or not it owns a pool: a later grant may add one to the same time.
-        tenant.granted_until = max(tenant.granted_until, now + length * (1 + 4 * DRIFT))
+        grantee.granted_until = max(grantee.granted_until, now + length * (1 + 4 * DRIFT))
         if len(self.pools) > 1:
-            granted = max(self.authority.granted_until, tenant.granted_until)
+            granted = max(self.authority.granted_until, grantee.granted_until)
             self.authority.granted_until = granted
         return peer.Grant(
             self.epoch,
@@ -303,7 +303,7 @@
             int(length * 1000),
             self.token_version(),
             self.dear_excess,
-            tenant.inbox.applied,
+            grantee.inbox.applied,
             self.shares(),
         )
 
@@ -328,7 +328,12 @@
                 self._rebase(now, held, pool.number, may_hold)
 
     def _rebase(
-        self, now: float, held: Held, pool: int, may_hold: int, status: Status | None = None
+        self,
+        now: float,
+        held: ManagedMachine,
+        pool: int,
+        may_hold: int,
+        status: Status | None = None,
     ) -> None:
         """Change who commands a machine, under a higher token."""
         base = self._next_base()
@@ -348,10 +353,10 @@
         )
         self.added[pool] = self.table.seq
 
-    def wait_out(self, before: Landlord) -> None:
+    def wait_out(self, before: ClusterManager) -> None:
         """Give no pool while a grant of one's own earlier term may run."""
         until = max(
-            (t.granted_until for n, t in before.tenants.items() if n != self.member),
+            (t.granted_until for n, t in before.grantees.items() if n != self.member),
             default=float("-inf"),
         )
         for pool in self.pools.values():
@@ -360,7 +365,7 @@
     def _live(self, now: float) -> list[str]:
         return [
             name
-            for name, t in self.tenants.items()
+            for name, t in self.grantees.items()
             if name == self.member or now - t.heard < 0.75 * self.grant_s
         ]
 
@@ -383,8 +388,8 @@
                 chosen = min(live, key=lambda n: (loads[n], n == self.member, n != before, n))
             self.serial += 1
             # Kept for it until it has had time to ask.
-            tenant = self.tenants[chosen]
-            tenant.granted_until = max(tenant.granted_until, now + self.grant_s)
+            grantee = self.grantees[chosen]
+            grantee.granted_until = max(grantee.granted_until, now + self.grant_s)
             pool.owner, pool.serial, pool.at = chosen, self.serial, self.table.seq
             if pool.free_at <= self.won_at:
                 pool.revision = self.token_version()
@@ -412,7 +417,7 @@
             quiet = now - max(self.passed_at, self.won_at) > self.lease_s
             if not settled or not quiet:
                 return
-            live = [n for n in live if now - self.tenants[n].since > self.lease_s]
+            live = [n for n in live if now - self.grantees[n].since > self.lease_s]
         if live:
             self.passed_at = now
             self._disown(now, mine[0], now)
@@ -453,18 +458,18 @@
                 continue
             self._take(now, held, status)
 
-    def _owner_of(self, held: Held) -> str:
+    def _owner_of(self, held: ManagedMachine) -> str:
         pool = self.pools.get(held.entry.pool)
         return pool.owner if pool is not None else ""
 
-    def _take(self, now: float, held: Held, status: Status) -> None:
+    def _take(self, now: float, held: ManagedMachine, status: Status) -> None:
         if held.status.up and not status.up:
             # A new owner has not heard it yet; that doesn't make it one that never came up, which
             # would be deleted with all that runs there.
             status = replace(status, up=True)
         if status.up and not held.status.up:
             held.up_at = held.idle_since = now
-            self.roster.came_up(now, held.entry.name, held.place)
+            self.fleet_store.came_up(now, held.entry.name, held.place)
         if status.idle and not held.status.idle:
             held.idle_since = now
         before, held.status = held.status, status
@@ -482,13 +487,13 @@
         if status.release and not held.releasing:
             self._release(now, [held])
 
-    def _heard(self, held: Held, address: str, session: int) -> None:
+    def _heard(self, held: ManagedMachine, address: str, session: int) -> None:
         """Where a machine answers; kept for whoever commands it next."""
         known = held.entry.contact
         if known is None or (known.address, known.session) != (address, session):
             self._set(held, contact=Contact(address, session, 0))
 
-    def _given(self, now: float, held: Held, status: Status) -> None:
+    def _given(self, now: float, held: ManagedMachine, status: Status) -> None:
         """An owner has given a machine back: nobody commands it now."""
         if status.pool != UNPOOLED:
             # It holds tasks of another pool.
@@ -499,19 +504,21 @@
             self._rebase(now, held, UNPOOLED, EMPTY, status)
             self._release(now, [held])
 
-    def _ask_back(self, now: float, held: Held, pool: int | None, vacate: bool = False) -> None:
+    def _ask_back(
+        self, now: float, held: ManagedMachine, pool: int | None, vacate: bool = False
+    ) -> None:
         if held.entry.pool == UNPOOLED:
             return
         held.back_for, held.back_until = pool, now + self.report_s
         self._set(held, back=True, vacate=vacate)
 
-    def tied(self, frame: peer.Tied) -> None:
+    def tied(self, frame: peer.ZoneTies) -> None:
         """An owner says in which zone jobs must find room; older owners don't."""
         pool = self.pools.get(frame.pool)
         if pool is not None:
             pool.ties = dict(frame.zones)
 
-    def asked(self, now: float, wants: peer.Wants) -> None:
+    def asked(self, now: float, wants: peer.MachineRequests) -> None:
         """An owner has tasks that its machines have no room for in time."""
         pool = self.pools.get(wants.pool)
         if pool is None or wants.applied < self.added.get(pool.number, 0):
@@ -567,26 +574,26 @@
             # Only a new term has tokens for more handovers.
             self.authority.step_down(now, "handovers used up")
             return
-        if self.roster.stuck():
+        if self.fleet_store.stuck():
             self.authority.step_down(now, "a write of the fleet's record is in doubt")
             return
         for pool in self.pools.values():
-            tenant = self.tenants.get(pool.owner)
+            grantee = self.grantees.get(pool.owner)
             if (
                 pool.owner
                 and pool.owner != self.member
-                and (tenant is None or now > tenant.granted_until)
+                and (grantee is None or now > grantee.granted_until)
             ):
                 self._disown(now, pool, now)
             if pool.owner and pool.revision == UNKNOWN_REVISION:
                 self._read_revision(now, pool)
         self._relieve(now)
         self._share_out(now)
-        self.roster.tick(now)
-        if self.roster.paged and not self.paged:
+        self.fleet_store.tick(now)
+        if self.fleet_store.paged and not self.paged:
             # From here on there is no going back to a version that knows `c/fleet` alone.
             self.paged = True
-            self.out.log("info", "fleet moved", pages=len(self.roster.pages))
+            self.out.log("info", "fleet moved", pages=len(self.fleet_store.pages))
         if now >= self.next_list and not self.listing:
             self._list(now)
         if now >= self.next_plan and self.types:
@@ -613,7 +620,7 @@
 
     # -- rental ------------------------------------------------------------------------------
 
-    def _serving(self) -> list[Held]:
+    def _serving(self) -> list[ManagedMachine]:
         return [
             h
             for h in self.machines.values()
@@ -687,7 +694,7 @@
             self._summary(warm.any, total)
         self._return_idle(now, warm)
 
-    def _may_leave(self, held: Held) -> bool:
+    def _may_leave(self, held: ManagedMachine) -> bool:
         """Whether a machine's pool keeps enough ordinary room for its urgent work without it."""
         if held.entry.spot or held.entry.pool not in self.pools:
             return True
@@ -695,7 +702,7 @@
         need = self.ordinary_peaks[number].value()
         return need <= 0 or self.ordinary_have.get(number, 0.0) - held.type.cpus >= need
 
-    def _leaves(self, held: Held) -> None:
+    def _leaves(self, held: ManagedMachine) -> None:
         if not held.entry.spot and held.entry.pool in self.ordinary_have:
             self.ordinary_have[held.entry.pool] -= held.type.cpus
 
@@ -705,7 +712,7 @@
         spec: wire.Spec,
         count: int,
         rooms: list[rental.Room],
-        spare: list[Held],
+        spare: list[ManagedMachine],
     ) -> str | None:
         """The zone where most of a gang's tasks find room already and the rest can be rented."""
         slots: dict[str, int] = {}
@@ -735,7 +742,7 @@
         return mixes
 
     def _allocate(
-        self, serving: list[Held], mixes: dict[str, list[float]]
+        self, serving: list[ManagedMachine], mixes: dict[str, list[float]]
     ) -> allocation.Allocation:
         """Bottleneck-aware allocation of all machines among the teams that ask."""
         gpus_matter = self.cluster.gpus_matter
@@ -757,7 +764,9 @@
             ),
         )
 
-    def _fullness(self, pool: Pool, serving: list[Held], mixes: dict[str, list[float]]) -> float:
+    def _fullness(
+        self, pool: Pool, serving: list[ManagedMachine], mixes: dict[str, list[float]]
+    ) -> float:
         """A pool's machines as a part of its allocation: the furthest below comes first."""
         have = sum(h.type.cpus for h in serving if h.entry.pool == pool.number)
         mine = [mixes[t] for t in pool.teams if t in mixes]
@@ -771,7 +780,7 @@
         self,
         now: float,
         pool: Pool,
-        serving: list[Held],
+        serving: list[ManagedMachine],
         wanted: dict[tuple[Place, int], int],
         zones: dict[str, int],
         rent: bool = True,
@@ -842,7 +851,7 @@
                     spare.remove(held)
                     self._leaves(held)
                     self._ask_back(now, held, pool.number)
-            while rent and left > 0 and sum(wanted.values()) < 50 and not self.roster.full():
+            while rent and left > 0 and sum(wanted.values()) < 50 and not self.fleet_store.full():
                 place = rental.choose_place(
                     spec, left, self.types, zones, self.refusals, now, patient, closed, zone
                 )
@@ -875,7 +884,9 @@
             if rent and left > 0 and job.guaranteed and horizon <= self.boot_s:
                 self._reclaim(now, pool, job, left, serving)
 
-    def _reclaim(self, now: float, pool: Pool, job: Job, count: int, serving: list[Held]) -> None:
+    def _reclaim(
+        self, now: float, pool: Pool, job: Job, count: int, serving: list[ManagedMachine]
+    ) -> None:
         """Give a pool its guarantee out of what another has beyond its own."""
         spec = job.spec
         for other in self.pools.values():
@@ -896,7 +907,7 @@
         self,
         now: float,
         warm: rental.Warm,
-        serving: list[Held],
+        serving: list[ManagedMachine],
         room: float,
         wanted: dict[tuple[Place, int], int],
         zones: dict[str, int],
@@ -907,7 +918,7 @@
         dear = {name for names in self.scarce.seen for name in names}
         cover = self._cover(serving)
         for cpus, spot_only in ((warm.any, False), (warm.cheap, True)):
-            while total < cpus and sum(wanted.values()) < 50 and not self.roster.full():
+            while total < cpus and sum(wanted.values()) < 50 and not self.fleet_store.full():
                 place = rental.choose_place(
                     None, 1, self.types, zones, self.refusals, now, spot_only, dear
                 )
@@ -925,7 +936,7 @@
         self,
         now: float,
         number: int,
-        serving: list[Held],
+        serving: list[ManagedMachine],
         wanted: dict[tuple[Place, int], int],
         closed: set[str],
     ) -> None:
@@ -945,7 +956,9 @@
             if not place[2]:
                 cpus = self.types[place[0]].cpus * count
                 zones[place[1]] = zones.get(place[1], 0.0) + cpus
-        while sum(zones.values()) < need and sum(wanted.values()) < 50 and not self.roster.full():
+        while (
+            sum(zones.values()) < need and sum(wanted.values()) < 50 and not self.fleet_store.full()
+        ):
             most = max(sorted(zones), key=lambda z: zones[z], default=None)
             found: Place | None = None
             for within in dict.fromkeys((most, None)):
@@ -966,7 +979,7 @@
             zones[found[1]] = zones.get(found[1], 0.0) + self.types[found[0]].cpus
             wanted[(found, number)] = wanted.get((found, number), 0) + 1
 
-    def _cover(self, serving: list[Held]) -> rental.Cover:
+    def _cover(self, serving: list[ManagedMachine]) -> rental.Cover:
         """How far each pool's machines, with those on their way, cover its urgent peak."""
         have = dict.fromkeys(self.pools, 0.0)
         for held in serving:
@@ -979,7 +992,7 @@
             have[number] += self.types[place[0]].cpus * count
         return rental.Cover(have, {n: peak.value() for n, peak in self.peaks.items()})
 
-    def _balance(self, now: float, serving: list[Held]) -> None:
+    def _balance(self, now: float, serving: list[ManagedMachine]) -> None:
         """Move idle machines to the pool whose peak is covered least, before it asks."""
         if len(self.pools) == 1:
             return
@@ -1051,9 +1064,9 @@
                 self._book(n, place, count, request, 3)
             else:
                 self.renting.pop(request, None)
-                self.roster.ended(n, request, [])
+                self.fleet_store.ended(n, request, [])
 
-        self.roster.book(now, request, place, count, stored)
+        self.fleet_store.book(now, request, place, count, stored)
 
     def _book(self, now: float, place: Place, count: int, request: str, tries: int) -> None:
         def then(n: float, outcome: Outcome) -> None:
@@ -1066,7 +1079,7 @@
                 else:
                     self.refusals.granted(place)
                 self.out.log("info", "rented", place=str(place), count=len(names), pool=pool)
-                self.roster.ended(n, request, names)
+                self.fleet_store.ended(n, request, names)
                 for name in names:
                     if name not in self.machines and name not in self.gone:
                         self._add(n, name, place, pool, EMPTY)
@@ -1077,12 +1090,12 @@
             self.renting.pop(request, None)
             self.refusals.refused(place, n, self.boot_s / 2)
             if outcome.status != NO_ANSWER:
-                self.roster.ended(n, request, [])
+                self.fleet_store.ended(n, request, [])
 
         body = wire.rental(request, place[0], place[1], place[2], count)
         self.out.calls.append(Call("cloud", "POST", wire.PATH_RENTALS, then, body, 3.0))
 
-    def _release(self, now: float, machines: list[Held]) -> None:
+    def _release(self, now: float, machines: list[ManagedMachine]) -> None:
         if not self.authority.entitled(now):
             return
         for held in machines:
@@ -1105,7 +1118,7 @@
             Call("cloud", "POST", wire.PATH_RELEASE, then, wire.release(names), 3.0)
         )
 
-    def _gone(self, now: float, held: Held) -> None:
+    def _gone(self, now: float, held: ManagedMachine) -> None:
         """The cloud has confirmed: the machine and all on it are gone."""
         name = held.entry.name
         if self.machines.get(name) is not held:
@@ -1113,7 +1126,7 @@
         del self.machines[name]
         self.gone[name] = now
         self._set(held, gone=True, may_hold=EMPTY)
-        self.roster.gone(now, name)
+        self.fleet_store.gone(now, name)
 
     def _list(self, now: float) -> None:
         if not self.calls.take(now, 1.0):
@@ -1145,7 +1158,7 @@
                 place = (item.type, item.zone, item.spot)
                 held = self._add(now, item.id, place, UNPOOLED, EMPTY)
                 held.rented_at = now - item.age_s
-                self.roster.rented(now, item.id, place)
+                self.fleet_store.rented(now, item.id, place)
             held.listed = True
             if item.address and held.entry.contact is None:
                 self._heard(held, item.address, 0)
--- a/src/copperpass/core/progress.py
+++ b/src/copperpass/core/completions.py
@@ -21,8 +21,8 @@
 
 from copperpass import wire
 from copperpass.core.authority import TOKEN
-from copperpass.core.jobs import ENDS, Job, JobTable, pack_done, segment_key, split_segment
-from copperpass.core.ledger import APPLIED, GATHERED, INVALID, Ledger, Op
+from copperpass.core.jobs import COMPLETIONS, Job, JobTable, pack_done, segment_key, split_segment
+from copperpass.core.transactions import APPLIED, GATHERED, INVALID, Op, TransactionQueue
 
 # What marks the key of a page that holds a segment.
 SEGMENT = "s"
@@ -54,13 +54,13 @@
         self.part: slice | None = None
 
 
-class Progress:
+class CompletionStore:
     """The writer of the records of ends; one an owner."""
 
     def __init__(
         self,
         jobs: JobTable,
-        ledger: Ledger,
+        transactions: TransactionQueue,
         token_version: Callable[[], int],
         versions: dict[str, int],
         pool: int,
@@ -69,7 +69,7 @@
         deadline_s: float,
         most_room: float | None = None,
     ) -> None:
-        self.jobs, self.ledger, self.token_version = jobs, ledger, token_version
+        self.jobs, self.transactions, self.token_version = jobs, transactions, token_version
         self.room, self.gather_s, self.deadline_s = room, gather_s, deadline_s
         # What a page may hold at most until the service says otherwise.
         self.most_room = room if most_room is None else max(room, most_room)
@@ -82,7 +82,7 @@
         self.free: list[str] = []
         # Versions as the watch saw them; shared with the node, which keeps them up.
         self.versions = versions
-        self.prefix = f"{ENDS}{pool}."
+        self.prefix = f"{COMPLETIONS}{pool}."
         self._load()
 
     def _load(self) -> None:
@@ -306,7 +306,7 @@
                 # Not stored, or not known to be: the watch brings the record's version.
                 page.since = n
 
-        self.ledger.submit(
+        self.transactions.submit(
             now,
             Op(
                 {TOKEN: self.token_version(), page.key: version},
--- a/src/copperpass/core/fleet.py
+++ b/src/copperpass/core/fleet.py
@@ -16,7 +16,7 @@
 
 Key = tuple[str, int, int]
 # The team of a task whose job is not known.
-GHOST = "?"
+UNIDENTIFIED = "?"
 NO_PRIORITY = 99
 
 
@@ -120,7 +120,7 @@
     used_memory: float = 0.0
     by_team: dict[str, tuple[float, float]] = field(default_factory=dict)
     lowest: int = NO_PRIORITY
-    ghosts: bool = False
+    unidentified: bool = False
     # Tasks have come or ended since the last recount.
     stale: bool = False
     # What the leader was told last, and of which session.
@@ -142,7 +142,7 @@
         """Add up what the active tasks take."""
         cpus = gpus = memory = 0.0
         by_team: dict[str, tuple[float, float]] = {}
-        lowest, ghosts = NO_PRIORITY, False
+        lowest, unidentified = NO_PRIORITY, False
         for p in self.tasks.values():
             if not p.active:
                 continue
@@ -150,9 +150,9 @@
             before = by_team.get(p.team, (0.0, 0.0))
             by_team[p.team] = (before[0] + p.cpus, before[1] + p.gpus)
             lowest = min(lowest, p.priority)
-            ghosts = ghosts or p.team == GHOST
+            unidentified = unidentified or p.team == UNIDENTIFIED
         self.used_cpus, self.used_gpus, self.used_memory = cpus, gpus, memory
-        self.by_team, self.lowest, self.ghosts = by_team, lowest, ghosts
+        self.by_team, self.lowest, self.unidentified = by_team, lowest, unidentified
         self.stale = False
 
     def room(self) -> tuple[float, float, float]:
@@ -240,23 +240,23 @@
 
     def __init__(self) -> None:
         self.teams: dict[str, list[float]] = {}
-        self.ghosts: set[str] = set()
+        self.unidentified: set[str] = set()
 
     def recount(self, machine: Machine) -> None:
         """Bring the sums up to a machine whose tasks have changed."""
         self._add(machine, -1.0)
         machine.recount()
         self._add(machine, 1.0)
-        if machine.ghosts:
-            self.ghosts.add(machine.name)
+        if machine.unidentified:
+            self.unidentified.add(machine.name)
         else:
-            self.ghosts.discard(machine.name)
+            self.unidentified.discard(machine.name)
 
     def drop(self, machine: Machine) -> None:
         """A machine is not the owner's any more."""
         self._add(machine, -1.0)
         machine.by_team = {}
-        self.ghosts.discard(machine.name)
+        self.unidentified.discard(machine.name)
 
     def _add(self, machine: Machine, sign: float) -> None:
         for team, (cpus, gpus) in machine.by_team.items():
--- a/src/copperpass/core/roster.py
+++ b/src/copperpass/core/fleet_store.py
@@ -27,7 +27,16 @@
 
 from copperpass import wire
 from copperpass.core.authority import TOKEN
-from copperpass.core.ledger import APPLIED, CONFLICT, INVALID, PLAIN, UNKNOWN, Budget, Ledger, Op
+from copperpass.core.transactions import (
+    APPLIED,
+    CONFLICT,
+    INVALID,
+    PLAIN,
+    UNKNOWN,
+    Budget,
+    Op,
+    TransactionQueue,
+)
 
 FLEET = "c/fleet"
 PAGES = "c/fleet/"
@@ -51,7 +60,7 @@
 
 
 @dataclass(slots=True)
-class Stored:
+class StoredFleet:
     """What the view holds of the fleet's records; kept up by the watch."""
 
     record: wire.FleetRecord | None = None
@@ -121,12 +130,12 @@
     return PLACE_BYTES + len(place[0].encode()) + len(place[1].encode())
 
 
-class Roster:
+class FleetStore:
     """The writer of the fleet's records; one a leader."""
 
     def __init__(
         self,
-        ledger: Ledger,
+        transactions: TransactionQueue,
         token_version: Callable[[], int],
         room: float,
         gap_s: float,
@@ -136,7 +145,7 @@
         proven: Callable[[], bool] = lambda: False,
         limits_drop: bool = False,
     ) -> None:
-        self.ledger, self.token_version = ledger, token_version
+        self.transactions, self.token_version = transactions, token_version
         # The room of the one record, and that of a page.
         self.room = room
         self.page_room = PAGE_PART * (room if least_room is None else least_room)
@@ -487,7 +496,7 @@
 
     def _submit(self, now: float, op: Op) -> None:
         self.next_write = now + self.gap_s
-        self.ledger.submit(now, op)
+        self.transactions.submit(now, op)
 
     def _record(self, items: dict[str, Place]) -> wire.FleetRecord:
         """The record of some machines and bookings."""
--- a/src/copperpass/core/holder.py
+++ b/src/copperpass/core/grant_client.py
@@ -7,18 +7,18 @@
 
 from copperpass import peer
 from copperpass.core.authority import DRIFT, GRANT_PER_TTL
+from copperpass.core.cluster_manager import UNKNOWN_REVISION, ClusterManager
 from copperpass.core.directory import Entry, Feed, Inbox, Status, Table
-from copperpass.core.landlord import UNKNOWN_REVISION, Landlord
-from copperpass.core.owner import Images, Owner
+from copperpass.core.pool_scheduler import Images, PoolScheduler
 from copperpass.core.ports import Outbox
 
 # Entries to a frame: some 70 bytes each.
 BATCH = 200
 PULLS_PER_GRANT = 6
-MakeOwner = Callable[[peer.Share], Owner]
+MakeOwner = Callable[[peer.Share], PoolScheduler]
 
 
-class Holder:
+class GrantClient:
     """Follows one leader's term; pools and the directory of machines end with it."""
 
     def __init__(
@@ -40,9 +40,9 @@
         self.plan_s = plan_s
         self.epoch = 0
         self.leader = ""
-        self.landlord: Landlord | None = None
+        self.cluster_manager: ClusterManager | None = None
         self.local: Feed[Entry] | None = None
-        self.owners: dict[int, Owner] = {}
+        self.schedulers: dict[int, PoolScheduler] = {}
         self.shares: dict[int, peer.Share] = {}
         self.directory: dict[str, Entry] = {}
         # What the terms before knew; kept until a later term has said better.
@@ -57,10 +57,10 @@
         self.hints = {n: e for n, e in self.hints.items() if not e.gone}
         self.owned_before.update({n: s.member for n, s in self.shares.items()})
         self.epoch, self.leader = epoch, leader
-        self.landlord = self.local = None
-        for owner in self.owners.values():
+        self.cluster_manager = self.local = None
+        for owner in self.schedulers.values():
             owner.over = True
-        self.owners, self.shares, self.directory = {}, {}, {}
+        self.schedulers, self.shares, self.directory = {}, {}, {}
         self.inbox = Inbox()
         self.table: Table[Status] = Table()
         self.feed = Feed(self.table)
@@ -77,10 +77,10 @@
         if (leader, epoch) != (self.leader, self.epoch) and epoch >= self.epoch:
             self._begin(epoch, leader)
 
-    def lead(self, landlord: Landlord) -> None:
+    def lead(self, cluster_manager: ClusterManager) -> None:
         """The member leads by itself."""
-        self._begin(landlord.epoch, self.member)
-        self.landlord, self.local = landlord, Feed(landlord.table)
+        self._begin(cluster_manager.epoch, self.member)
+        self.cluster_manager, self.local = cluster_manager, Feed(cluster_manager.table)
 
     def leave(self) -> None:
         """Nobody is followed: all pools end."""
@@ -88,19 +88,19 @@
 
     def entitled(self, now: float) -> bool:
         """Whether this member's pools are its own at this moment."""
-        if self.landlord is not None:
-            return self.landlord.authority.entitled(now)
+        if self.cluster_manager is not None:
+            return self.cluster_manager.authority.entitled(now)
         return now < min(self.until, self.fresh_until())
 
     # -- time ---------------------------------------------------------------------------
 
     def tick(self, now: float, view_revision: int) -> None:
-        """Pull, tell and let the owners work."""
+        """Renew grants, report statuses and run the schedulers."""
         if not self.leader:
             return
-        landlord = self.landlord
-        if landlord is not None:
-            self._local(now, landlord)
+        cluster_manager = self.cluster_manager
+        if cluster_manager is not None:
+            self._local(now, cluster_manager)
         elif now >= self.next_pull and self.asking:
             self.next_pull = now + self.pull_s
             self.number = (self.number + 1) & 0xFFFFFFFF
@@ -109,69 +109,71 @@
                 self.asked.popitem(last=False)
             self.out.send(
                 self.leader,
-                peer.Pull(self.epoch, self.incarnation, self.number, self.inbox.applied),
+                peer.GrantRequest(self.epoch, self.incarnation, self.number, self.inbox.applied),
             )
-        for number, owner in self.owners.items():
+        for number, owner in self.schedulers.items():
             share = self.shares[number]
             known = share.revision != UNKNOWN_REVISION and view_revision >= share.revision
             if not owner.ready and known and self.inbox.applied >= share.at:
                 owner.begin(now)
             owner.dear_excess = self.dear_excess
             owner.tick(now)
-        if (now >= self.next_status or any(o.parting for o in self.owners.values())) and (
+        if (now >= self.next_status or any(o.returning for o in self.schedulers.values())) and (
             self.entitled(now)
         ):
             self.next_status = now + self.pull_s / 4
             self._tell(now)
-        urgent = any(owner.wanting for owner in self.owners.values())
+        urgent = any(owner.needs_machines for owner in self.schedulers.values())
         if (now >= self.next_wants or urgent) and self.entitled(now):
             self.next_wants = now + self.plan_s
-            for number, owner in self.owners.items():
-                owner.wanting = False
+            for number, owner in self.schedulers.items():
+                owner.needs_machines = False
                 if owner.ready:
                     wants = tuple(owner.wants(now)[:500])
                     self._tell_ties(number, owner, wants)
-                    self._send(now, peer.Wants(self.epoch, number, self.inbox.applied, wants))
+                    self._send(
+                        now, peer.MachineRequests(self.epoch, number, self.inbox.applied, wants)
+                    )
 
     def refresh(self, now: float) -> None:
         """A leader's own table has changed and is needed at once."""
-        if self.landlord is not None:
-            self._local(now, self.landlord)
+        if self.cluster_manager is not None:
+            self._local(now, self.cluster_manager)
 
-    def _local(self, now: float, landlord: Landlord) -> None:
+    def _local(self, now: float, cluster_manager: ClusterManager) -> None:
         assert self.local is not None
         _, upto, entries = self.local.next(1 << 30)
         self.inbox.applied = upto
-        self.dear_excess = landlord.dear_excess
-        self.token_version = landlord.token_version()
+        self.dear_excess = cluster_manager.dear_excess
+        self.token_version = cluster_manager.token_version()
         self._learn(now, entries)
-        self._share(now, landlord.shares())
+        self._share(now, cluster_manager.shares())
 
     def _tell_ties(
-        self, number: int, owner: Owner, wants: tuple[tuple[str, int, float], ...]
+        self, number: int, owner: PoolScheduler, wants: tuple[tuple[str, int, float], ...]
     ) -> None:
         """Say in which zones the jobs that want machines must have them."""
-        frame = peer.Tied(
+        frame = peer.ZoneTies(
             self.epoch,
             number,
             tuple((job, owner.ties[job]) for job, _, _ in wants if job in owner.ties),
         )
-        if self.landlord is not None:
-            self.landlord.tied(frame)
+        if self.cluster_manager is not None:
+            self.cluster_manager.tied(frame)
         elif self.proven(self.leader):
             self.out.send(self.leader, frame)
 
-    def _send(self, now: float, frame: peer.Wants | peer.Statuses) -> None:
-        if self.landlord is None:
+    def _send(self, now: float, frame: peer.MachineRequests | peer.Statuses) -> None:
+        if self.cluster_manager is None:
             self.out.send(self.leader, frame)
-        elif isinstance(frame, peer.Wants):
-            self.landlord.asked(now, frame)
+        elif isinstance(frame, peer.MachineRequests):
+            self.cluster_manager.asked(now, frame)
         else:
-            self.landlord.told(now, self.member, frame.statuses)
+            self.cluster_manager.told(now, self.member, frame.statuses)
 
     def _tell(self, now: float) -> None:
-        for owner in self.owners.values():
-            owner.parting = False
+        for owner in self.schedulers.values():
+            owner.returning = False
             for status in owner.statuses(now):
                 self.table.put(status)
         while self.feed.sent < self.table.seq:
@@ -179,9 +181,9 @@
             self._send(
                 now, peer.Statuses(self.epoch, self.incarnation, before, upto, tuple(statuses))
             )
-        if self.landlord is not None:
+        if self.cluster_manager is not None:
             self.feed.acknowledged(self.feed.sent)
-            self._local(now, self.landlord)
+            self._local(now, self.cluster_manager)
 
     # -- what the leader tells ------------------------------------------------------------
 
@@ -217,22 +219,22 @@
                 self.table.entries.pop(entry.name, None)
             else:
                 self.directory[entry.name] = entry
-            for owner in self.owners.values():
+            for owner in self.schedulers.values():
                 owner.learn(now, entry)
 
     def _share(self, now: float, shares: Iterable[peer.Share]) -> None:
         self.shares = {share.pool: share for share in shares}
-        for number, owner in list(self.owners.items()):
+        for number, owner in list(self.schedulers.items()):
             share = self.shares.get(number)
             if share is None or share.member != self.member or share.serial != owner.serial:
                 owner.over = True
-                del self.owners[number]
+                del self.schedulers[number]
         for number, share in self.shares.items():
             if share.member != self.member:
                 continue
-            owned = self.owners.get(number)
+            owned = self.schedulers.get(number)
             if owned is None:
-                owned = self.owners[number] = self.make(share)
+                owned = self.schedulers[number] = self.make(share)
                 for entry in self.directory.values():
                     owned.learn(now, entry)
             owned.revision = share.revision
--- a/src/copperpass/core/jobs.py
+++ b/src/copperpass/core/jobs.py
@@ -10,7 +10,7 @@
 
 from copperpass import wire
 
-LIVE, OVER, ENDS = "c/live/", "d/job/", "c/ends/"
+LIVE, OVER, COMPLETIONS = "c/live/", "d/job/", "c/ends/"
 EPS = 1e-6
 KNOWN_OFF = 2000
 
@@ -74,7 +74,7 @@
     guaranteed: bool = False
     judged: bool = False
     # Another member has stored its cancellation, which the view may be late to show.
-    called_off: bool = False
+    announce_cancelled: bool = False
     # Of a gang: the attempt that all its tasks share (0: none), whether one of them was seen to
     # run, and whether the attempt is over, but for tasks that are not proven gone.
     attempt: int = 0
@@ -205,17 +205,17 @@
     # Jobs that are cancelled for certain although the view may not show it, or not even the job.
     off: OrderedDict[str, None] = field(default_factory=OrderedDict)
 
-    def call_off(self, job_id: str) -> Job | None:
+    def mark_cancelled(self, job_id: str) -> Job | None:
         """A job is cancelled for good; returns it if it is known."""
         self.off[job_id] = None
         while len(self.off) > KNOWN_OFF:
             self.off.popitem(last=False)
         job = self.jobs.get(job_id)
         if job is not None:
-            job.called_off = True
+            job.announce_cancelled = True
         return job
 
-    def saw_ends(self, key: str, raw: bytes | None) -> None:
+    def saw_completions(self, key: str, raw: bytes | None) -> None:
         """Take in a record of ends."""
         page = wire.decode(raw, dict[str, str]) if raw is not None else None
         if page is None:
@@ -249,7 +249,7 @@
             job = make_job(record, version, now, self.day)
             if job is not None:
                 self.jobs[job_id] = job
-                job.called_off = job_id in self.off
+                job.announce_cancelled = job_id in self.off
                 for page in self.pages.values():
                     if job_id in page:
                         self._merge(job, job_id, page[job_id])
--- a/src/copperpass/core/node.py
+++ b/src/copperpass/core/node.py
@@ -8,17 +8,17 @@
 
 from copperpass import peer, wire
 from copperpass.core.authority import GRANT_PER_TTL, LEAD, TOKEN, Authority, times_of
-from copperpass.core.holder import BATCH, Holder
-from copperpass.core.jobs import ENDS, LIVE, JobTable
-from copperpass.core.landlord import Landlord
-from copperpass.core.ledger import GATHERED, INVALID, Ledger, Op
-from copperpass.core.owner import Owner
+from copperpass.core.cluster_manager import ClusterManager
+from copperpass.core.fleet_store import StoredFleet
+from copperpass.core.grant_client import BATCH, GrantClient
+from copperpass.core.jobs import COMPLETIONS, LIVE, JobTable
+from copperpass.core.pool_scheduler import PoolScheduler
 from copperpass.core.ports import Call, Outbox, Outcome, Reply
 from copperpass.core.relay import Relay
 from copperpass.core.rental import longest_boot
-from copperpass.core.roster import Stored
-from copperpass.core.users import UserDesk
-from copperpass.core.versions import Versions
+from copperpass.core.transactions import GATHERED, INVALID, Op, TransactionQueue
+from copperpass.core.users import UserApi
+from copperpass.core.versions import VersionRegistry
 from copperpass.core.view import View
 from copperpass.settings import Cluster, Settings
 from copperpass.tuning import Tuning
@@ -57,12 +57,14 @@
         self.ttl = self.times.ttl
         timeout = self.ttl / 3
         state = cluster.state
-        self.ledger = Ledger(self.out, state.least_write_rps, state.least_txn_ops, timeout)
-        self.desk = UserDesk(cluster, self.out, self.ledger, 1.6, day)
-        self.desk.counts = self.counts_of
-        self.desk.called_off = self._call_off
+        self.transactions = TransactionQueue(
+            self.out, state.least_write_rps, state.least_txn_ops, timeout
+        )
+        self.user_api = UserApi(cluster, self.out, self.transactions, 1.6, day)
+        self.user_api.counts = self.counts_of
+        self.user_api.announce_cancelled = self._announce_cancelled
         self.jobs = JobTable(day=day)
-        self.fleet = Stored()
+        self.fleet = StoredFleet()
         # Of the records of ends.
         self.versions: dict[str, int] = {}
         self.pools = pools_of(cluster, self.tuning)
@@ -72,18 +74,18 @@
             [m.name for m in settings.members],
             self.times,
             self.out,
-            self.ledger,
+            self.transactions,
             self.rng,
             self._authority_changed,
             now,
             lambda: self.view.fresh_at,
             GRANT_PER_TTL * self.ttl if parted else 0.0,
         )
-        self.members = Versions(
+        self.members = VersionRegistry(
             settings.name,
             [m.name for m in settings.members],
             self.out,
-            self.ledger,
+            self.transactions,
             self.ttl,
             timeout,
         )
@@ -97,7 +99,7 @@
         self.peer_counts: dict[str, dict[str, int]] = {}
         self.next_beat = now
         self.next_counts = now
-        self.holder = Holder(
+        self.grant_client = GrantClient(
             settings.name,
             self.rng.getrandbits(62) + 1,
             self.ttl,
@@ -107,7 +109,7 @@
             self.authority.fresh_until,
             self.proven,
         )
-        self.landlord: Landlord | None = None
+        self.cluster_manager: ClusterManager | None = None
         self.types: dict[str, wire.MachineType] = {}
         self.next_types = 0.0
         self.fetching_types = False
@@ -125,84 +127,88 @@
         if self.view.listed:
             self.authority.known = True
         self.authority.tick(now)
-        self.ledger.pump(now)
+        self.transactions.pump(now)
         self.members.tick(now)
         wanted = not self.stored_types and not self.types_too_large
-        if self.landlord is not None and wanted and self.types:
+        if self.cluster_manager is not None and wanted and self.types:
             # Refetch at once so that the first leader stores the offer.
             self.next_types = min(self.next_types, now + self.ttl)
         if not self.fetching_types and now >= self.next_types:
             self._fetch_types(now)
         self._mind_leader(now)
-        landlord = self.landlord
-        if landlord is not None:
+        cluster_manager = self.cluster_manager
+        if cluster_manager is not None:
             if (
-                not landlord.ready
+                not cluster_manager.ready
                 and self.view.revision >= self.authority.win_revision
                 and (self.types)
             ):
-                landlord.begin(now)
-            landlord.tick(now)
-            self._feed_tenants(landlord)
+                cluster_manager.begin(now)
+            cluster_manager.tick(now)
+            self._feed_grantees(cluster_manager)
         # An owner whose view falls behind that of others stops asking: its grant ends, and the
         # leader gives the pool to somebody who can see, long before the bound on its view.
-        self.holder.asking = not self._behind()
-        self.holder.tick(now, self.view.revision)
-        if self.landlord is not None:
-            self._mind_isolation(now, self.landlord)
+        self.grant_client.asking = not self._behind()
+        self.grant_client.tick(now, self.view.revision)
+        if self.cluster_manager is not None:
+            self._mind_isolation(now, self.cluster_manager)
         if now >= self.next_beat:
             self._beat(now)
 
     def _mind_leader(self, now: float) -> None:
         """Follow whoever leads."""
         lead = self.authority.lead
-        if self.landlord is None and lead is not None and lead.member != self.settings.name:
-            self.holder.follow(lead.member, lead.token)
+        if self.cluster_manager is None and lead is not None and lead.member != self.settings.name:
+            self.grant_client.follow(lead.member, lead.token)
 
-    def _feed_tenants(self, landlord: Landlord) -> None:
+    def _feed_grantees(self, cluster_manager: ClusterManager) -> None:
         """Send the members what is new in the leader's table."""
-        for member, tenant in landlord.tenants.items():
-            feed = tenant.feed
-            while feed is not None and feed.sent < landlord.table.seq:
+        for member, grantee in cluster_manager.grantees.items():
+            feed = grantee.feed
+            while feed is not None and feed.sent < cluster_manager.table.seq:
                 before, upto, entries = feed.next(BATCH)
                 self.out.send(
                     member,
-                    peer.Entries(landlord.epoch, tenant.incarnation, before, upto, tuple(entries)),
+                    peer.Entries(
+                        cluster_manager.epoch, grantee.incarnation, before, upto, tuple(entries)
+                    ),
                 )
 
     def received(self, now: float, sender: str, frame: peer.Frame) -> None:
         """A frame from another controller."""
         self.peer_heard[sender] = now
-        if isinstance(frame, peer.Beat):
+        if isinstance(frame, peer.Heartbeat):
             if frame.state_age_ms != peer.NEVER:
                 self.peer_state[sender] = now - frame.state_age_ms / 1000
-        elif isinstance(frame, peer.Counts):
+        elif isinstance(frame, peer.RunningCounts):
             self.peer_counts[sender] = frame.running
-        elif isinstance(frame, peer.Handed):
+        elif isinstance(frame, peer.RelayedReport):
             report = wire.decode(frame.body, wire.Report)
             if report is not None:
                 status, body = self._answer(now, report, True)
-                self.out.send(sender, peer.Answered(frame.number, status, body))
-        elif isinstance(frame, peer.Tied):
-            if self.landlord is not None and frame.epoch == self.landlord.epoch:
-                self.landlord.tied(frame)
-        elif isinstance(frame, peer.CalledOff):
-            self._called_off(now, frame.job)
-        elif isinstance(frame, peer.Answered):
+                self.out.send(sender, peer.RelayedAnswer(frame.number, status, body))
+        elif isinstance(frame, peer.ZoneTies):
+            if self.cluster_manager is not None and frame.epoch == self.cluster_manager.epoch:
+                self.cluster_manager.tied(frame)
+        elif isinstance(frame, peer.JobCancelled):
+            self._job_cancelled(now, frame.job)
+        elif isinstance(frame, peer.RelayedAnswer):
             self.relay.answered(frame)
-        elif isinstance(frame, peer.Pull):
-            grant = self.landlord.pulled(now, sender, frame) if self.landlord else None
+        elif isinstance(frame, peer.GrantRequest):
+            grant = (
+                self.cluster_manager.pulled(now, sender, frame) if self.cluster_manager else None
+            )
             if grant is not None:
                 self.out.send(sender, grant)
         elif isinstance(frame, peer.Grant):
-            self.holder.granted(now, sender, frame)
+            self.grant_client.granted(now, sender, frame)
         elif isinstance(frame, peer.Entries):
-            self.holder.entries(now, sender, frame)
+            self.grant_client.entries(now, sender, frame)
         elif isinstance(frame, peer.Statuses):
             self._told(now, sender, frame)
-        elif isinstance(frame, peer.Wants):
-            if self.landlord is not None and frame.epoch == self.landlord.epoch:
-                self.landlord.asked(now, frame)
+        elif isinstance(frame, peer.MachineRequests):
+            if self.cluster_manager is not None and frame.epoch == self.cluster_manager.epoch:
+                self.cluster_manager.asked(now, frame)
         else:
             self.authority.received(now, sender, frame)
 
@@ -212,19 +218,19 @@
         if report is None:
             self.out.replies.append(Reply(request, 400, wire.error("malformed report")))
             return
-        holder, name = self.holder, report.machine
-        owner = holder.owner_of(name)
+        grant_client, name = self.grant_client, report.machine
+        owner = grant_client.owner_of(name)
         if owner == self.settings.name:
             self.out.replies.append(Reply(request, *self._answer(now, report, False)))
             return
         if owner is None:
             owner = self._unowned(now, report)
-            if owner == self.settings.name and self.landlord is not None:
+            if owner == self.settings.name and self.cluster_manager is not None:
                 self.out.replies.append(Reply(request, *self._answer(now, report, False)))
                 return
         linked = owner is not None and self._linked(now, owner)
-        if owner is not None and linked and self.relay.hands_on(now, name):
-            self.relay.hand_on(now, request, body, owner)
+        if owner is not None and linked and self.relay.should_relay(now, name):
+            self.relay.relay_report(now, request, body, owner)
             return
         if owner is not None and not linked:
             # The worker would hardly fare better: another member may reach the owner.
@@ -239,21 +245,21 @@
 
     def _unowned(self, now: float, report: wire.Report) -> str | None:
         """Where a machine should go that nobody is known to command."""
-        if self.landlord is not None:
-            if not self.landlord.ready or not self.authority.entitled(now):
+        if self.cluster_manager is not None:
+            if not self.cluster_manager.ready or not self.authority.entitled(now):
                 return None
-            self.landlord.unowned(now, report)
-            self.holder.refresh(now)
-            return self.holder.owner_of(report.machine)
+            self.cluster_manager.unowned(now, report)
+            self.grant_client.refresh(now)
+            return self.grant_client.owner_of(report.machine)
         leader = self.authority.leader_name()
         return leader if leader != self.settings.name else None
 
     def _answer(self, now: float, report: wire.Report, handed: bool) -> tuple[int, bytes]:
         """What this node itself answers a report with."""
-        entry = self.holder.directory.get(report.machine)
-        owner = self.holder.owners.get(entry.pool) if entry is not None else None
-        if owner is None or not self.holder.entitled(now):
-            if self.landlord is not None and entry is None and handed:
+        entry = self.grant_client.directory.get(report.machine)
+        owner = self.grant_client.schedulers.get(entry.pool) if entry is not None else None
+        if owner is None or not self.grant_client.entitled(now):
+            if self.cluster_manager is not None and entry is None and handed:
                 self._unowned(now, report)
             return 421, wire.referral(None)
         answer = owner.report(now, report, handed)
@@ -262,19 +268,19 @@
         return 200, wire.encode(answer)
 
     def _told(self, now: float, sender: str, frame: peer.Statuses) -> None:
-        landlord = self.landlord
-        if landlord is None or frame.epoch != landlord.epoch:
+        cluster_manager = self.cluster_manager
+        if cluster_manager is None or frame.epoch != cluster_manager.epoch:
             return
-        tenant = landlord.tenants.get(sender)
-        if tenant is None or tenant.incarnation != frame.incarnation:
+        grantee = cluster_manager.grantees.get(sender)
+        if grantee is None or grantee.incarnation != frame.incarnation:
             return
-        if tenant.inbox.takes(frame.before, frame.upto):
-            landlord.told(now, sender, frame.statuses)
+        if grantee.inbox.takes(frame.before, frame.upto):
+            cluster_manager.told(now, sender, frame.statuses)
 
     @property
-    def owners(self) -> list[Owner]:
+    def schedulers(self) -> list[PoolScheduler]:
         """The pools that this node owns."""
-        return list(self.holder.owners.values())
+        return list(self.grant_client.schedulers.values())
 
     def healthy(self, now: float) -> bool:
         """Whether this node can take requests now."""
@@ -289,22 +295,22 @@
         latest = max(self.peer_state.values(), default=float("-inf"))
         return latest - self.view.fresh_at > self.ttl
 
-    def _call_off(self, now: float, job_id: str) -> None:
+    def _announce_cancelled(self, now: float, job_id: str) -> None:
         """A cancellation is stored: whoever runs the job's tasks should hear of it at once.
 
         A hint beside the watch, which may be late by as much as the bound on the view: it spares
         starts after a confirmed cancellation, and proves nothing about what users are told.
         """
-        self._called_off(now, job_id)
+        self._job_cancelled(now, job_id)
         for other in self.authority.others:
             if self.proven(other):
-                self.out.send(other, peer.CalledOff(job_id))
+                self.out.send(other, peer.JobCancelled(job_id))
 
-    def _called_off(self, now: float, job_id: str) -> None:
-        job = self.jobs.call_off(job_id)
+    def _job_cancelled(self, now: float, job_id: str) -> None:
+        job = self.jobs.mark_cancelled(job_id)
         if job is not None:
-            for owner in self.owners:
-                owner.call_off(now, job)
+            for owner in self.schedulers:
+                owner.mark_cancelled(now, job)
 
     def proven(self, member: str) -> bool:
         """Whether a member is certainly of this version or a later one.
@@ -319,7 +325,7 @@
         job = self.jobs.jobs.get(job_id)
         if job is None:
             return 0, 0
-        if self.pools.get(job.spec.team, 0) in self.holder.owners:
+        if self.pools.get(job.spec.team, 0) in self.grant_client.schedulers:
             return job.done_count, job.shown()
         told = (counts.get(job_id, 0) for counts in self.peer_counts.values())
         return job.done_count, max(told, default=0)
@@ -339,33 +345,36 @@
         elif key.startswith(LIVE):
             job, over = self.jobs.saw(now, key, raw, version)
             if raw is None:
-                self.desk.note_removed(key[len(LIVE) :])
-            for owner in self.owners:
+                self.user_api.note_removed(key[len(LIVE) :])
+            for owner in self.schedulers:
                 if over and job is not None:
-                    owner.job_over(now, job)
+                    owner.job_ended(now, job)
                 owner.dirty = True
-        elif key.startswith(ENDS):
-            self.jobs.saw_ends(key, raw)
+        elif key.startswith(COMPLETIONS):
+            self.jobs.saw_completions(key, raw)
             self.versions[key] = version if raw is not None else 0
-        elif self.fleet.saw(key, raw, version) and self.landlord is not None:
-            self.landlord.saw_fleet(self.fleet, key, version)
+        elif self.fleet.saw(key, raw, version) and self.cluster_manager is not None:
+            self.cluster_manager.saw_fleet(self.fleet, key, version)
 
     def _authority_changed(self, now: float, leading: bool, continued: bool) -> None:
-        before = self.landlord
+        before = self.cluster_manager
         if leading and continued and before is not None and len(before.pools) == 1:
             # Nobody else can have commanded in between: the term goes on under a higher counter.
             return
         if not leading:
-            self.landlord = None
-            self.holder.leave()
+            self.cluster_manager = None
+            self.grant_client.leave()
             return
-        holder = self.holder
-        hints = {**holder.hints, **holder.directory}
-        owned = {**holder.owned_before, **{n: s.member for n, s in holder.shares.items()}}
-        self.landlord = Landlord(
+        grant_client = self.grant_client
+        hints = {**grant_client.hints, **grant_client.directory}
+        owned = {
+            **grant_client.owned_before,
+            **{n: s.member for n, s in grant_client.shares.items()},
+        }
+        self.cluster_manager = ClusterManager(
             self.cluster,
             self.out,
-            self.ledger,
+            self.transactions,
             self.jobs,
             self.types,
             self.authority,
@@ -373,7 +382,7 @@
             self.pools,
             hints,
             owned,
-            holder.incarnation,
+            grant_client.incarnation,
             self._linked,
             now,
             self.tuning,
@@ -382,40 +391,40 @@
         if continued and before is not None:
             # Members follow the new token, so they need a term under it. The grants of the term
             # before have not ended with an authority that goes on: they are waited out.
-            self.landlord.wait_out(before)
-        holder.lead(self.landlord)
+            self.cluster_manager.wait_out(before)
+        grant_client.lead(self.cluster_manager)
 
-    def _make_owner(self, share: peer.Share) -> Owner:
-        holder = self.holder
-        return Owner(
+    def _make_owner(self, share: peer.Share) -> PoolScheduler:
+        grant_client = self.grant_client
+        return PoolScheduler(
             self.cluster,
             self.out,
-            self.ledger,
+            self.transactions,
             self.jobs,
             self.types,
             self.versions,
             pool=share.pool,
             pools=self.pools,
-            epoch=holder.epoch,
+            epoch=grant_client.epoch,
             serial=share.serial,
             revision=share.revision,
-            token_version=lambda: holder.token_version,
-            entitled=holder.entitled,
+            token_version=lambda: grant_client.token_version,
+            entitled=grant_client.entitled,
             now=self.now,
             tuning=self.tuning,
-            images=holder.images,
+            images=grant_client.images,
             fresh_at=lambda: self.view.fresh_at,
         )
 
-    def _mind_isolation(self, now: float, landlord: Landlord) -> None:
+    def _mind_isolation(self, now: float, cluster_manager: ClusterManager) -> None:
         """Step down when neither workers nor other controllers can be heard.
 
         While another controller can be heard, workers that have lost their way are handed on by it.
         With the last machine dead no node hears a worker: to step down then would only pass the
         authority round. So it is done once, and again only after somebody else has led.
         """
-        up = any(h.status.up or h.entry.recorded for h in landlord.machines.values())
-        heard = max([landlord.won_at, *(owner.last_report for owner in self.owners)])
+        up = any(h.status.up or h.entry.recorded for h in cluster_manager.machines.values())
+        heard = max([cluster_manager.won_at, *(owner.last_report for owner in self.schedulers)])
         alone = not any(now - at < self.ttl for at in self.peer_heard.values())
         if (
             up
@@ -437,18 +446,18 @@
             return min(peer.NEVER - 1, int((now - at) * 1000)) if at > 0 else peer.NEVER
 
         # How fresh the view is: every answered request would say less of what this node can see.
-        beat = peer.Beat(self.authority.counter, age(self.view.fresh_at))
+        beat = peer.Heartbeat(self.authority.counter, age(self.view.fresh_at))
         for other in self.authority.others:
             self.out.send(other, beat)
-        if self.owners and now >= self.next_counts:
+        if self.schedulers and now >= self.next_counts:
             self.next_counts = now + 1.0
             counts = {
                 j: job.shown()
                 for j, job in self.jobs.jobs.items()
-                if job.shown() and self.pools.get(job.spec.team, 0) in self.holder.owners
+                if job.shown() and self.pools.get(job.spec.team, 0) in self.grant_client.schedulers
             }
             for other in self.authority.others:
-                self.out.send(other, peer.Counts(counts))
+                self.out.send(other, peer.RunningCounts(counts))
 
     def _fetch_types(self, now: float) -> None:
         self.fetching_types = True
@@ -462,21 +471,21 @@
             self._use_types(offer)
             self._store_types(n, offer)
             # Only the leader needs prices that follow the market.
-            self.next_types = n + (30.0 if self.landlord is not None else 300.0)
+            self.next_types = n + (30.0 if self.cluster_manager is not None else 300.0)
 
         self.out.calls.append(Call("cloud", "GET", wire.PATH_TYPES, then, b"", 3.0))
 
     def _use_types(self, offer: wire.MachineTypes) -> None:
         self.types.update({t.name: t for t in offer.types})
-        self.desk.types = self.types
+        self.user_api.types = self.types
         longest = longest_boot(self.types)
-        for owner in self.owners:
+        for owner in self.schedulers:
             owner.boot_s = longest
-        if self.landlord is not None:
-            self.landlord.boot_s = longest
+        if self.cluster_manager is not None:
+            self.cluster_manager.boot_s = longest
 
     def _store_types(self, now: float, offer: wire.MachineTypes) -> None:
-        if self.landlord is None or len(self.stored_types) > 0:
+        if self.cluster_manager is None or len(self.stored_types) > 0:
             return
         if len(wire.encode(offer)) > self.cluster.state.least_value_bytes:
             self.types_too_large = True
@@ -485,7 +494,7 @@
         def then(n: float, how: str, revision: int) -> None:
             self.types_too_large = self.types_too_large or how == INVALID
 
-        self.ledger.submit(
+        self.transactions.submit(
             now,
             # Written once: a late copy must not bring an older offer back.
             Op(
--- a/src/copperpass/core/owner.py
+++ b/src/copperpass/core/pool_scheduler.py
@@ -9,6 +9,7 @@
 from copperpass import wire
 from copperpass.core import allocation, dispatch, rental
 from copperpass.core.authority import GRANT_PER_TTL, certain_lease_s, times_of
+from copperpass.core.completions import CompletionStore
 from copperpass.core.directory import (
     ANYBODY,
     EMPTY,
@@ -19,8 +20,8 @@
     Status,
 )
 from copperpass.core.fleet import (
-    GHOST,
     NO_PRIORITY,
+    UNIDENTIFIED,
     Machine,
     Placement,
     Tally,
@@ -29,9 +30,8 @@
     zone_allows,
 )
 from copperpass.core.jobs import EPS, LIVE, OVER, Job, JobTable, fits, parse_task, task_id
-from copperpass.core.ledger import APPLIED, Ledger, Op
 from copperpass.core.ports import NOT_SENT, Call, Outbox, Outcome
-from copperpass.core.progress import Progress
+from copperpass.core.transactions import APPLIED, Op, TransactionQueue
 from copperpass.settings import Cluster, Team
 from copperpass.tuning import Tuning
 
@@ -71,14 +71,14 @@
         return silent * 2 > known and silent > 2
 
 
-class Owner:
+class PoolScheduler:
     """Commands the machines of one pool of teams; a new one is made for each ownership."""
 
     def __init__(
         self,
         cluster: Cluster,
         out: Outbox,
-        ledger: Ledger,
+        transactions: TransactionQueue,
         jobs: JobTable,
         types: dict[str, wire.MachineType],
         versions: dict[str, int],
@@ -95,7 +95,7 @@
         images: Images | None = None,
         fresh_at: Callable[[], float] = lambda: float("-inf"),
     ) -> None:
-        self.cluster, self.out, self.ledger, self.jobs = cluster, out, ledger, jobs
+        self.cluster, self.out, self.transactions, self.jobs = cluster, out, transactions, jobs
         self.types = types
         # The pool of each team; `teams` are ours.
         self.pool, self.pools = pool, pools
@@ -114,7 +114,7 @@
         # Set when the ownership has passed: answers that come later must not touch the jobs.
         self.over = False
         # What the leader should be told at once: tasks in need of machines, machines given back.
-        self.wanting = self.parting = False
+        self.needs_machines = self.returning = False
         # Jobs in need of machines that may only run in the zone where others of their tasks are.
         self.ties: dict[str, str] = {}
         self.urgent: set[str] = set()
@@ -163,9 +163,9 @@
         self.next_round = now
         self.by_team = {t.name: t for t in self.teams}
         state = cluster.state
-        self.progress = Progress(
+        self.completions = CompletionStore(
             jobs,
-            ledger,
+            transactions,
             token_version,
             versions,
             pool,
@@ -286,7 +286,7 @@
         self.tally.drop(machine)
         self.unsettled.discard(machine.name)
         self.given[machine.name] = last
-        self.parting = self.dirty = True
+        self.returning = self.dirty = True
 
     def _gone(self, now: float, machine: Machine) -> None:
         """The cloud has confirmed: the machine and all on it are gone."""
@@ -508,7 +508,7 @@
             key[1],
             key[2],
             machine.name,
-            GHOST,
+            UNIDENTIFIED,
             "",
             0,
             0.0,
@@ -531,7 +531,7 @@
             if self.pools.get(job.spec.team, self.pool) != self.pool:
                 p.foreign, p.pool = True, self.pools[job.spec.team]
                 return
-            if p.team == GHOST:
+            if p.team == UNIDENTIFIED:
                 spec = job.spec
                 p.team, p.job_class = spec.team, spec.job_class
                 p.priority = wire.PRIORITIES[spec.priority]
@@ -539,7 +539,7 @@
                 p.image, p.estimate_s = spec.image, spec.estimate_s
                 machine.touch_image(spec.image, spec.image_gb)
                 self.tally.recount(machine)
-            if p.active and job.called_off:
+            if p.active and job.announce_cancelled:
                 p.stop, p.stopping_for = 0.0, "called off"
             if p.active and p.index < job.spec.tasks:
                 other = job.placed.get(p.index)
@@ -572,7 +572,7 @@
         if self.ready or now - self.fresh_at() < self.lease_s / 4:
             return False
         return any(
-            p.team == GHOST and p.active and not p.foreign and p.stop is None
+            p.team == UNIDENTIFIED and p.active and not p.foreign and p.stop is None
             for p in machine.tasks.values()
         )
 
@@ -608,7 +608,7 @@
                 machine=machine.name,
                 ran=round(now - p.running_at, 1) if p.running_at else 0,
             )
-        if p.team == GHOST and job is None:
+        if p.team == UNIDENTIFIED and job is None:
             p.stored = self._knows_over(p)
             return
         self.dirty = True
@@ -967,7 +967,7 @@
             return
         if not job.ended():
             if job.finished:
-                self.progress.note(now, job)
+                self.completions.note(now, job)
             return
         job.storing = True
         key = LIVE + job.spec.id
@@ -979,22 +979,22 @@
                 job.version = max(job.version, revision)
                 job.stored(list(job.finished))
                 self.jobs.jobs.pop(job.spec.id, None)
-                self.job_over(n, job)
+                self.job_ended(n, job)
             # On a conflict the watch brings the newer record; the next scan tries again.
 
         writes = [wire.remove(key), wire.put(OVER + job.spec.id, final)]
-        self.ledger.submit(now, Op({key: job.version}, writes, then, now + 2 * self.lease_s))
+        self.transactions.submit(now, Op({key: job.version}, writes, then, now + 2 * self.lease_s))
 
-    def job_over(self, now: float, job: Job) -> None:
+    def job_ended(self, now: float, job: Job) -> None:
         """The job's record is gone: nothing of it may start, and all of it must go."""
         if self.pools.get(job.spec.team, self.pool) != self.pool:
             return
-        self.progress.over(job)
+        self.completions.over(job)
         self._stop_all(now, job, "job over")
         self.where.pop(job.spec.id, None)
         self.dirty = True
 
-    def call_off(self, now: float, job: Job) -> None:
+    def mark_cancelled(self, now: float, job: Job) -> None:
         """A job's cancellation is stored, whatever the view shows: its tasks go, none starts."""
         if self.pools.get(job.spec.team, self.pool) == self.pool:
             self._stop_all(now, job, "called off")
@@ -1032,7 +1032,7 @@
             self._scan(now)
         if self.unsettled:
             self._probe(now)
-        self.progress.tick(now)
+        self.completions.tick(now)
         if self.dirty and now >= self.next_round:
             self.round(now)
 
@@ -1083,21 +1083,21 @@
 
     def _usage(self) -> dict[str, tuple[float, float]]:
         """What each team's tasks take or may take."""
-        ghosts = [0.0, 0.0]
-        for name in self.unsettled | self.tally.ghosts:
+        unidentified = [0.0, 0.0]
+        for name in self.unsettled | self.tally.unidentified:
             # What is there is not known: count all that could be, against every team.
             cpus, gpus, _ = self.machines[name].room()
-            ghosts[0] += max(0.0, cpus)
-            ghosts[1] += max(0.0, gpus)
+            unidentified[0] += max(0.0, cpus)
+            unidentified[1] += max(0.0, gpus)
         for kind, _, _ in self.elsewhere.values():
             if kind in self.types:
-                ghosts[0] += self.types[kind].cpus
-                ghosts[1] += self.types[kind].gpus
+                unidentified[0] += self.types[kind].cpus
+                unidentified[1] += self.types[kind].gpus
         used = {t.name: self.tally.of(t.name) for t in self.teams}
-        return {name: (u[0] + ghosts[0], u[1] + ghosts[1]) for name, u in used.items()}
+        return {name: (u[0] + unidentified[0], u[1] + unidentified[1]) for name, u in used.items()}
 
     def _startable(self, job: Job, now: float) -> bool:
-        if now < job.hold_until or job.ending or job.called_off:
+        if now < job.hold_until or job.ending or job.announce_cancelled:
             return False
         if job.created > self.revision or not (self.unsettled or self.elsewhere):
             return True
@@ -1149,7 +1149,7 @@
         self.scarce.note(now, jobs)
         if all(job.waiting() <= 0 for job in jobs):
             # Most reports of a quiet hour change nothing that could be started.
-            self.wanting, self.urgent = False, set()
+            self.needs_machines, self.urgent = False, set()
             self.next_round = now + 0.01
             return
         silence = self.silence
@@ -1289,7 +1289,7 @@
         for machine in {m.name: m for m in log}.values():
             self._send_direct(now, machine)
         urgent = {j.spec.id for j in stuck if self.aims.due(j, now) - now < self.boot_s}
-        self.wanting = bool(urgent - self.urgent)
+        self.needs_machines = bool(urgent - self.urgent)
         self.urgent = urgent
         if stuck and self.tuning.preemption:
             self._preempt(now, stuck, usable, used)
--- a/src/copperpass/core/relay.py
+++ b/src/copperpass/core/relay.py
@@ -14,11 +14,11 @@
 from copperpass import peer, wire
 from copperpass.core.ports import Outbox, Reply
 
-KNOWN_GUESTS = 4000
+KNOWN_WORKERS = 4000
 
 
 @dataclass(slots=True)
-class Guest:
+class RelayedWorker:
     """A worker that reports here although another node commands it."""
 
     at: float
@@ -31,34 +31,34 @@
 
     def __init__(self, out: Outbox, lease_s: float, wait_s: float) -> None:
         self.out, self.lease_s, self.wait_s = out, lease_s, wait_s
-        self.guests: OrderedDict[str, Guest] = OrderedDict()
+        self.workers: OrderedDict[str, RelayedWorker] = OrderedDict()
         self.pending: OrderedDict[int, tuple[float, object]] = OrderedDict()
         self.number = 0
 
-    def hands_on(self, now: float, machine: str) -> bool:
+    def should_relay(self, now: float, machine: str) -> bool:
         """Whether a machine's report is to be handed on rather than referred."""
-        guest = self.guests.get(machine)
-        if guest is None or now - guest.at > self.lease_s:
-            guest = self.guests[machine] = Guest(now)
-            self.guests.move_to_end(machine)
-            while len(self.guests) > KNOWN_GUESTS:
-                self.guests.popitem(last=False)
+        worker = self.workers.get(machine)
+        if worker is None or now - worker.at > self.lease_s:
+            worker = self.workers[machine] = RelayedWorker(now)
+            self.workers.move_to_end(machine)
+            while len(self.workers) > KNOWN_WORKERS:
+                self.workers.popitem(last=False)
             return True
-        guest.at = now
-        if guest.referred:
-            guest.referred, guest.stuck_until = False, now + 3 * self.lease_s
-        if now < guest.stuck_until:
+        worker.at = now
+        if worker.referred:
+            worker.referred, worker.stuck_until = False, now + 3 * self.lease_s
+        if now < worker.stuck_until:
             return True
-        guest.referred = True
+        worker.referred = True
         return False
 
-    def hand_on(self, now: float, request: object, body: bytes, member: str) -> None:
+    def relay_report(self, now: float, request: object, body: bytes, member: str) -> None:
         """Send a report on."""
         self.number = (self.number + 1) & 0xFFFFFFFF
         self.pending[self.number] = (now + self.wait_s, request)
-        self.out.send(member, peer.Handed(self.number, body))
+        self.out.send(member, peer.RelayedReport(self.number, body))
 
-    def answered(self, frame: peer.Answered) -> None:
+    def answered(self, frame: peer.RelayedAnswer) -> None:
         """Pass an answer back; one that comes too late finds nobody waiting."""
         held = self.pending.pop(frame.number, None)
         if held is not None:
--- a/src/copperpass/core/ledger.py
+++ b/src/copperpass/core/transactions.py
@@ -94,7 +94,7 @@
         return True
 
 
-class Ledger:
+class TransactionQueue:
     """Queues operations and merges those that wait into one transaction."""
 
     IN_FLIGHT = 3
--- a/src/copperpass/core/users.py
+++ b/src/copperpass/core/users.py
@@ -11,8 +11,8 @@
 from copperpass import wire
 from copperpass.core.fleet import type_fits
 from copperpass.core.jobs import LIVE, OVER, fits
-from copperpass.core.ledger import APPLIED, CONFLICT, INVALID, URGENT, Ledger, Op
 from copperpass.core.ports import Call, Outbox, Outcome, Reply
+from copperpass.core.transactions import APPLIED, CONFLICT, INVALID, URGENT, Op, TransactionQueue
 from copperpass.settings import Cluster, Team
 
 RETRY_AFTER = 1
@@ -20,7 +20,7 @@
 Found = Callable[[float, "wire.JobRecord | None", int], None]
 
 
-class Verdict(Exception):
+class Rejection(Exception):
     """A submission that is refused: the status and why."""
 
     def __init__(self, status: int, why: str) -> None:
@@ -29,11 +29,11 @@
 
 
 def check(spec: wire.Spec, cluster: Cluster, types: dict[str, wire.MachineType]) -> None:
-    """Raise a Verdict when the job is malformed or can never run."""
+    """Raise a Rejection when the job is malformed or can never run."""
     if not wire.JOB_ID.match(spec.id):
-        raise Verdict(400, "id: not of the form req-000000")
+        raise Rejection(400, "id: not of the form req-000000")
     if not 1 <= spec.tasks <= wire.MAX_TASKS:
-        raise Verdict(400, "pages: outside 1..100000")
+        raise Rejection(400, "pages: outside 1..100000")
     amounts = {
         "cpus": spec.cpus,
         "cards": spec.gpus,
@@ -46,14 +46,14 @@
     }
     for name, amount in amounts.items():
         if not math.isfinite(amount) or amount < 0:
-            raise Verdict(400, f"{name}: not an amount")
+            raise Rejection(400, f"{name}: not an amount")
     if not spec.job_class or not spec.image:
-        raise Verdict(400, "slot, master: must not be empty")
+        raise Rejection(400, "slot, master: must not be empty")
     team = next((t for t in cluster.teams if t.name == spec.team), None)
     if team is None:
-        raise Verdict(422, "desk: unknown team")
+        raise Rejection(422, "desk: unknown team")
     if not fits(spec.cpus, team.cpus_max) or not fits(spec.gpus, team.gpus_max):
-        raise Verdict(422, "a task needs more than the team's limit")
+        raise Rejection(422, "a task needs more than the team's limit")
     zones = {
         zone
         for machine_type in types.values()
@@ -63,19 +63,19 @@
         and type_fits(spec, machine_type)
     }
     if not zones:
-        raise Verdict(422, "a task fits no allowed machine type")
+        raise Rejection(422, "a task fits no allowed machine type")
     if spec.gang:
         _check_gang(spec, team, zones)
 
 
 def _check_gang(spec: wire.Spec, team: Team, zones: set[str]) -> None:
-    """Raise a Verdict when a gang, whose tasks all run at once, can never run."""
+    """Raise a Rejection when a gang, whose tasks all run at once, can never run."""
     if not fits(spec.cpus * spec.tasks, team.cpus_max) or not fits(
         spec.gpus * spec.tasks, team.gpus_max
     ):
-        raise Verdict(422, "the gang needs more than the team's limit")
+        raise Rejection(422, "the gang needs more than the team's limit")
     if spec.spread and spec.tasks > 1 and (spec.one_zone or len(zones) < 2):
-        raise Verdict(422, "a gang can't be both in one zone and spread")
+        raise Rejection(422, "a gang can't be both in one zone and spread")
 
 
 def _read(outcome: Outcome) -> tuple[wire.JobRecord, int] | None:
@@ -85,20 +85,20 @@
     return None if item is None or record is None else (record, item.version)
 
 
-class UserDesk:
+class UserApi:
     """Answers users; the same on every node, whoever leads."""
 
     def __init__(
         self,
         cluster: Cluster,
         out: Outbox,
-        ledger: Ledger,
+        transactions: TransactionQueue,
         read_timeout: float,
         day: float = 0.0,
     ) -> None:
         # The time of day less the steady clock's.
         self.day = day
-        self.cluster, self.out, self.ledger = cluster, out, ledger
+        self.cluster, self.out, self.transactions = cluster, out, transactions
         self.read_timeout = read_timeout
         self.types: dict[str, wire.MachineType] = {}
         self.finals: OrderedDict[str, wire.JobRecord] = OrderedDict()
@@ -106,7 +106,7 @@
         self.removed: OrderedDict[str, None] = OrderedDict()
         self.counts: Callable[[str], tuple[int, int]] = lambda job_id: (0, 0)
         # Whom to tell of a cancellation that is stored.
-        self.called_off: Callable[[float, str], None] = lambda now, job_id: None
+        self.announce_cancelled: Callable[[float, str], None] = lambda now, job_id: None
 
     # -- requests -------------------------------------------------------------
 
@@ -119,7 +119,7 @@
             spec = msgspec.json.decode(body, type=wire.Spec)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             known = wire.decode(body, wire.OnlyId)
-            refusal = Verdict(400, str(error))
+            refusal = Rejection(400, str(error))
             if known is None or not wire.JOB_ID.match(known.id):
                 self._answer(request, 400, wire.error(refusal.why))
             else:
@@ -129,12 +129,12 @@
             self._answer(request, 400, wire.error("id: not of the form req-000000"))
             return
         if not self.types:
-            self._refuse(now, request, spec.id, Verdict(503, "machine types not known yet"))
+            self._refuse(now, request, spec.id, Rejection(503, "machine types not known yet"))
             return
         try:
             check(spec, self.cluster, self.types)
-        except Verdict as verdict:
-            self._refuse(now, request, spec.id, verdict)
+        except Rejection as rejection:
+            self._refuse(now, request, spec.id, rejection)
             return
         record = {"spec": msgspec.to_builtins(spec), "at": round(now + self.day, 1)}
         room = self.cluster.state.least_value_bytes
@@ -144,13 +144,13 @@
             record["spec"] = msgspec.to_builtins(spec)
         size = len(wire.encode(record))
         if size > room:
-            self._refuse(now, request, spec.id, Verdict(422, "can never be stored: too large"))
+            self._refuse(now, request, spec.id, Rejection(422, "can never be stored: too large"))
             return
 
         def stored(n: float, how: str, revision: int) -> None:
             if how == INVALID and size > 0.8 * room:
                 # The service counts a value's bytes in a longer notation than ours.
-                self._refuse(n, request, spec.id, Verdict(422, "can never be stored: too large"))
+                self._refuse(n, request, spec.id, Rejection(422, "can never be stored: too large"))
             else:
                 self._submitted(n, how, request, spec.id)
 
@@ -161,7 +161,7 @@
             now + self.read_timeout,
             URGENT,
         )
-        self.ledger.submit(now, op)
+        self.transactions.submit(now, op)
 
     def poll(self, now: float, request: object, job_id: str) -> None:
         """GET /api/jobs/{id}."""
@@ -192,7 +192,7 @@
                 if how == APPLIED:
                     over = wire.JobRecord(final=wire.CANCELLED, count=count)
                     self.note_final(job_id, over)
-                    self.called_off(m, job_id)
+                    self.announce_cancelled(m, job_id)
                     self._tell(request, job_id, over)
                 elif how == CONFLICT and tries > 1:
                     # A task of the job ended in between: the record has moved on, look again.
@@ -200,7 +200,7 @@
                 else:
                     self._unavailable(request, "not stored")
 
-            self.ledger.submit(
+            self.transactions.submit(
                 n,
                 Op(
                     {LIVE + job_id: version},
@@ -280,16 +280,16 @@
         else:
             self._unavailable(request, "not stored")
 
-    def _refuse(self, now: float, request: object, job_id: str, verdict: Verdict) -> None:
+    def _refuse(self, now: float, request: object, job_id: str, rejection: Rejection) -> None:
         """Refuse, unless the id is that of a job which was accepted before."""
 
         def found(n: float, record: wire.JobRecord | None, version: int) -> None:
             if record is not None:
                 self._tell(request, job_id, record)
-            elif verdict.status == 503:
-                self._unavailable(request, verdict.why)
+            elif rejection.status == 503:
+                self._unavailable(request, rejection.why)
             else:
-                self._answer(request, verdict.status, wire.error(verdict.why))
+                self._answer(request, rejection.status, wire.error(rejection.why))
 
         self.lookup(now, job_id, found, lambda n: self._unavailable(request, "can't be decided"))
 
--- a/src/copperpass/core/versions.py
+++ b/src/copperpass/core/versions.py
@@ -9,15 +9,15 @@
 from __future__ import annotations
 
 from copperpass import __version__, wire
-from copperpass.core.ledger import APPLIED, PLAIN, Ledger, Op
 from copperpass.core.ports import Call, Outbox, Outcome
+from copperpass.core.transactions import APPLIED, PLAIN, Op, TransactionQueue
 
 # Outside the prefix that all versions list and watch.
 VERSIONS = "v/"
 FORMAT = 1
 
 
-class Versions:
+class VersionRegistry:
     """Writes the own key, and reads the others' while it matters."""
 
     def __init__(
@@ -25,12 +25,12 @@
         member: str,
         others: list[str],
         out: Outbox,
-        ledger: Ledger,
+        transactions: TransactionQueue,
         gap_s: float,
         timeout: float,
     ) -> None:
         self.member, self.members = member, [member, *others]
-        self.out, self.ledger, self.gap_s, self.timeout = out, ledger, gap_s, timeout
+        self.out, self.transactions, self.gap_s, self.timeout = out, transactions, gap_s, timeout
         self.known: set[str] = set()
         self.busy: set[str] = set()
         self.next_try = 0.0
@@ -82,6 +82,6 @@
                 self.known.add(member)
 
         value = {"version": __version__, "format": FORMAT}
-        self.ledger.submit(
+        self.transactions.submit(
             now, Op({key: version}, [wire.put(key, value)], then, now + self.gap_s, PLAIN)
         )
--- a/src/copperpass/net/service.py
+++ b/src/copperpass/net/service.py
@@ -101,7 +101,7 @@
         """Gather what comes in close together into one round."""
         if self.soon is not None:
             return
-        due = [owner.next_round for owner in self.node.owners if owner.dirty]
+        due = [owner.next_round for owner in self.node.schedulers if owner.dirty]
         if due:
             wait = max(0.01, min(due) - self.now())
             self.soon = self.reactor.callLater(wait, self._soon)
@@ -127,17 +127,17 @@
 
     def submit(self, request: Any, body: bytes) -> None:
         """A user's submission."""
-        self.node.desk.submit(self.now(), request, body)
+        self.node.user_api.submit(self.now(), request, body)
         self._drain()
 
     def poll(self, request: Any, job_id: str) -> None:
         """A user's poll."""
-        self.node.desk.poll(self.now(), request, job_id)
+        self.node.user_api.poll(self.now(), request, job_id)
         self._drain()
 
     def cancel(self, request: Any, job_id: str) -> None:
         """A user's cancellation."""
-        self.node.desk.cancel(self.now(), request, job_id)
+        self.node.user_api.cancel(self.now(), request, job_id)
         self._drain()
 
     # -- outputs -----------------------------------------------------------------------
--- a/src/copperpass/peer.py
+++ b/src/copperpass/peer.py
@@ -43,7 +43,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Beat:
+class Heartbeat:
     """A sign of life: the highest token seen, and the age of the last answer of the state."""
 
     token: int
@@ -51,7 +51,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Ask:
+class PromiseRequest:
     """A leader asks for a promise."""
 
     token: int
@@ -60,7 +60,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Promise:
-    """The answer to Ask."""
+    """The answer to PromiseRequest."""
 
     token: int
     number: int
@@ -68,14 +68,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Counts:
+class RunningCounts:
     """Running tasks by job, for display on nodes that don't lead."""
 
     running: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
-class Handed:
+class RelayedReport:
     """A worker's report, handed on to the member that commands its machine."""
 
     number: int
@@ -83,7 +83,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Answered:
+class RelayedAnswer:
     """What the worker whose report was handed on is to be answered."""
 
     number: int
@@ -92,7 +92,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Pull:
+class GrantRequest:
     """A member asks its leader to extend its grants."""
 
     epoch: int
@@ -115,7 +115,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Grant:
-    """The answer to Pull: for how long, from the asking, the shares hold."""
+    """The answer to GrantRequest: for how long, from the asking, the shares hold."""
 
     epoch: int
     incarnation: int
@@ -150,7 +150,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Wants:
+class MachineRequests:
     """Tasks of a pool that its machines have no room for in time: job, count, seconds left."""
 
     epoch: int
@@ -160,15 +160,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CalledOff:
+class JobCancelled:
     """A job's cancellation is stored: the receiver's view may be late to see it."""
 
     job: str
 
 
 @dataclass(frozen=True, slots=True)
-class Tied:
-    """Of the tasks that Wants names: the jobs whose other tasks tie them to a zone."""
+class ZoneTies:
+    """Of the tasks that MachineRequests names: the jobs whose other tasks tie them to a zone."""
 
     epoch: int
     pool: int
@@ -177,19 +177,19 @@
 
 Frame = (
     Hello
-    | Beat
-    | Ask
+    | Heartbeat
+    | PromiseRequest
     | Promise
-    | Counts
-    | Handed
-    | Answered
-    | Pull
+    | RunningCounts
+    | RelayedReport
+    | RelayedAnswer
+    | GrantRequest
     | Grant
     | Entries
     | Statuses
-    | Wants
-    | CalledOff
-    | Tied
+    | MachineRequests
+    | JobCancelled
+    | ZoneTies
 )
 _PULL = struct.Struct("!QQIQ")
 _GRANT = struct.Struct("!QQIIQBQB")
@@ -314,9 +314,11 @@
     return Status(name, base, up, settled, idle, given, pool, release, used, reader.contact(there))
 
 
-def _pack_share(frame: Pull | Grant | Entries | Statuses | Wants) -> tuple[int, bytes]:
+def _pack_share(
+    frame: GrantRequest | Grant | Entries | Statuses | MachineRequests,
+) -> tuple[int, bytes]:
     """The frames of grants and shares."""
-    if isinstance(frame, Pull):
+    if isinstance(frame, GrantRequest):
         return PULL, _PULL.pack(frame.epoch, frame.incarnation, frame.number, frame.applied)
     if isinstance(frame, Grant):
         head = _GRANT.pack(
@@ -332,7 +334,7 @@
         return GRANT, head + b"".join(
             _text(s.member) + _SHARE.pack(s.pool, s.serial, s.revision, s.at) for s in frame.shares
         )
-    if isinstance(frame, Wants):
+    if isinstance(frame, MachineRequests):
         head = _WANTS.pack(frame.epoch, frame.pool, frame.applied, len(frame.wants))
         return WANTS, head + b"".join(
             _text(job) + _WANT.pack(count, left) for job, count, left in frame.wants
@@ -349,7 +351,7 @@
     reader = _Reader(payload)
     frame: Frame
     if kind == PULL:
-        frame = Pull(*reader.unpack(_PULL))
+        frame = GrantRequest(*reader.unpack(_PULL))
     elif kind == GRANT:
         epoch, incarnation, number, length, version, dear, applied, count = reader.unpack(_GRANT)
         shares = []
@@ -367,7 +369,7 @@
             job = reader.text()
             tasks, left = reader.unpack(_WANT)
             wants.append((job, tasks, left))
-        frame = Wants(epoch, pool, applied, tuple(wants))
+        frame = MachineRequests(epoch, pool, applied, tuple(wants))
     else:
         epoch, incarnation, before, upto, count = reader.unpack(_PART)
         if kind == ENTRIES:
@@ -384,25 +386,25 @@
     """Put a frame into bytes."""
     if isinstance(frame, Hello):
         kind, payload = HELLO, frame.member.encode()
-    elif isinstance(frame, Beat):
+    elif isinstance(frame, Heartbeat):
         kind, payload = BEAT, _BEAT.pack(frame.token, frame.state_age_ms)
-    elif isinstance(frame, Ask):
+    elif isinstance(frame, PromiseRequest):
         kind, payload = ASK, _ASK.pack(frame.token, frame.number)
     elif isinstance(frame, Promise):
         kind = PROMISE
         payload = _ANSWER.pack(frame.token, frame.number, frame.granted)
-    elif isinstance(frame, Handed):
+    elif isinstance(frame, RelayedReport):
         kind, payload = HANDED, _HANDED.pack(frame.number) + frame.body
-    elif isinstance(frame, Answered):
+    elif isinstance(frame, RelayedAnswer):
         kind, payload = ANSWERED, _ANSWERED.pack(frame.number, frame.status) + frame.body
-    elif isinstance(frame, CalledOff):
+    elif isinstance(frame, JobCancelled):
         kind, payload = CALLED_OFF, frame.job.encode()
-    elif isinstance(frame, Tied):
+    elif isinstance(frame, ZoneTies):
         kind = TIED
         payload = _TIED.pack(frame.epoch, frame.pool, len(frame.zones)) + b"".join(
             _text(job) + _text(zone) for job, zone in frame.zones
         )
-    elif isinstance(frame, Pull | Grant | Entries | Statuses | Wants):
+    elif isinstance(frame, GrantRequest | Grant | Entries | Statuses | MachineRequests):
         kind, payload = _pack_share(frame)
     else:
         kind, parts, size = COUNTS, [], 0
@@ -421,9 +423,9 @@
         if kind == HELLO:
             return Hello(payload.decode())
         if kind == BEAT:
-            return Beat(*_BEAT.unpack(payload))
+            return Heartbeat(*_BEAT.unpack(payload))
         if kind == ASK:
-            return Ask(*_ASK.unpack(payload))
+            return PromiseRequest(*_ASK.unpack(payload))
         if kind == PROMISE:
             token, number, granted = _ANSWER.unpack(payload)
             if granted > 1:
@@ -432,19 +434,19 @@
         if PULL <= kind <= WANTS:
             return _unpack_share(kind, payload)
         if kind == CALLED_OFF:
-            return CalledOff(payload.decode())
+            return JobCancelled(payload.decode())
         if kind == TIED:
             reader = _Reader(payload)
             epoch, pool, count = reader.unpack(_TIED)
             zones = tuple((reader.text(), reader.text()) for _ in range(count))
             reader.end()
-            return Tied(epoch, pool, zones)
+            return ZoneTies(epoch, pool, zones)
         if kind == HANDED:
             (number,) = _HANDED.unpack_from(payload)
-            return Handed(number, payload[_HANDED.size :])
+            return RelayedReport(number, payload[_HANDED.size :])
         if kind == ANSWERED:
             number, status = _ANSWERED.unpack_from(payload)
-            return Answered(number, status, payload[_ANSWERED.size :])
+            return RelayedAnswer(number, status, payload[_ANSWERED.size :])
         if kind == COUNTS:
             running: dict[str, int] = {}
             at = 0
@@ -456,7 +458,7 @@
                     raise BadFrame("short")
                 running[name.decode()] = count
                 at += size
-            return Counts(running)
+            return RunningCounts(running)
     except (struct.error, UnicodeDecodeError) as error:
         raise BadFrame(str(error)) from None
     raise BadFrame(f"unknown kind {kind}")
--- a/tests/production.py
+++ b/tests/production.py
@@ -1,7 +1,8 @@
-"""The version in production, taken from the repository's history to run beside this one."""
+"""Earlier versions, taken from the repository's history to run beside this one."""
 
 import functools
 import importlib
+import operator
 import re
 import subprocess
 import sys
@@ -13,6 +14,16 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 PACKAGE = "copperpass"
+# The last version that keeps the whole fleet in one record: upgrades from it move the record.
+VERSION_0_2_0 = "fffd8b90a2701387c2f0a7c63039604073094e15"
+# What the tests look at in a node, and what versions up to 0.3.0 call it.
+FORMER_NAMES = {
+    "schedulers": "owners",
+    "user_api": "desk",
+    "cluster_manager": "landlord",
+    "grant_client": "holder",
+    "transactions": "ledger",
+}
 
 
 def commit():
@@ -24,7 +35,7 @@
     return found[1]
 
 
-class Production:
+class EarlierVersion:
     """Its modules, apart from ours."""
 
     def __init__(self, source):
@@ -45,14 +56,18 @@
                 del sys.modules[name]
             sys.modules.update(mine)
 
+        for name, former in FORMER_NAMES.items():
+            if hasattr(self.core.Node, name):
+                continue
+            setattr(self.core.Node, name, property(operator.attrgetter(former)))
+
     def node(self, raw, seed, now):
         """A node of that version."""
         return self.core.Node(self.settings.parse(raw), seed, now, day=1000.0)
 
 
 @functools.cache
-def _load():
-    name = commit()
+def _load(name):
     source = ROOT / "target" / "old" / name
     if not (source / "src").is_dir():
         archive = subprocess.run(
@@ -62,15 +77,16 @@
             return None
         with tarfile.open(fileobj=BytesIO(archive.stdout)) as tar:
             tar.extractall(source, filter="data")
-    return Production(source / "src")
+    return EarlierVersion(source / "src")
 
 
-def load():
-    """The version in production, or a skip that says why."""
-    made = _load()
+def load(name=None):
+    """The version in production or the named commit, or a skip that says why."""
+    name = name or commit()
+    made = _load(name)
     if made is None:
         pytest.skip(
-            f"NOT RUN: the history lacks the version in production ({commit()}); "
-            "a shallow clone? Without it nothing shows that both serve side by side"
+            f"NOT RUN: the history lacks an earlier version ({name}); a shallow clone? "
+            "Without it nothing shows that both serve side by side"
         )
     return made
--- a/tests/world.py
+++ b/tests/simulation.py
@@ -14,7 +14,7 @@
 
 from copperpass import peer, wire
 from copperpass import settings as settings_module
-from copperpass.core.fleet import GHOST
+from copperpass.core.fleet import UNIDENTIFIED
 from copperpass.core.node import Node
 from copperpass.core.ports import Outcome
 
@@ -125,8 +125,8 @@
 class State:
     """The state service: keys, leases, guarded transactions and watches."""
 
-    def __init__(self, world):
-        self.world = world
+    def __init__(self, simulation):
+        self.simulation = simulation
         self.data, self.revision, self.log = {}, 0, []
         self.leases, self.lease_ids = {}, itertools.count(1)
         self.down = False
@@ -151,8 +151,8 @@
             self.too_large += 1
             return 400
         rate = limits["write_rps"]
-        self.level = min(rate, self.level + (self.world.now - self.filled) * rate)
-        self.filled = self.world.now
+        self.level = min(rate, self.level + (self.simulation.now - self.filled) * rate)
+        self.filled = self.simulation.now
         if self.level < len(writes):
             self.too_fast += 1
             return 429
@@ -162,7 +162,7 @@
 
     def expire(self):
         for lease, (until, _) in list(self.leases.items()):
-            if self.world.now > until and not self.down:
+            if self.simulation.now > until and not self.down:
                 self.end_lease(lease)
 
     def end_lease(self, lease):
@@ -213,14 +213,14 @@
             query = dict(part.split("=") for part in path.split("?")[1].split("&"))
             watch = [query["under"], int(query["since"]), reply, asker]
             self.watches.append(watch)
-            self.world.after(int(query["block_ms"]) / 1000, lambda: self.answer(watch, True))
+            self.simulation.after(int(query["block_ms"]) / 1000, lambda: self.answer(watch, True))
             self.wake()
         elif path == "/multi":
             self.transaction(json.loads(body), reply)
         elif path == "/leases":
             lease = next(self.lease_ids)
             ttl = json.loads(body)["ttl_ms"] / 1000
-            self.leases[lease] = (self.world.now + ttl, ttl)
+            self.leases[lease] = (self.simulation.now + ttl, ttl)
             reply(200, json.dumps({"permit": lease}).encode())
         elif method == "DELETE":
             self.end_lease(int(path.split("/")[2]))
@@ -231,7 +231,7 @@
                 reply(404, b"{}")
                 return
             ttl = self.leases[lease][1]
-            self.leases[lease] = (self.world.now + ttl, ttl)
+            self.leases[lease] = (self.simulation.now + ttl, ttl)
             reply(200, b"{}")
 
     def transaction(self, txn, reply):
@@ -259,7 +259,7 @@
                 self.log.append((self.revision, write["put"], write["value"]))
             elif self.data.pop(write["remove"], None):
                 self.log.append((self.revision, write["remove"], None))
-        self.world.wrote(writes)
+        self.simulation.wrote(writes)
         reply(200, json.dumps({"issue": self.revision}).encode())
         self.wake()
 
@@ -269,7 +269,7 @@
 
     def answer(self, watch, timed_out):
         prefix, since, reply, asker = watch
-        if watch not in self.watches or self.down or asker in self.world.refused:
+        if watch not in self.watches or self.down or asker in self.simulation.refused:
             # Also the open watches of a node that is refused alone wait as in an outage.
             return
         news = [e for e in self.log if e[0] > since and e[1].startswith(prefix)]
@@ -288,9 +288,9 @@
     A task is a member from the moment it has its image until it is gone.
     """
 
-    def __init__(self, world, job_id, attempt):
-        self.world, self.job_id, self.attempt = world, job_id, attempt
-        self.spec = world.specs[job_id]
+    def __init__(self, simulation, job_id, attempt):
+        self.simulation, self.job_id, self.attempt = simulation, job_id, attempt
+        self.spec = simulation.specs[job_id]
         self.members = {}  # (worker, key of the task) -> what the worker notes of it
         self.started = self.broken = self.safe = self.over = self.late = False
         self.progress, self.since, self.speed, self.turn = 0.0, None, 1.0, 0
@@ -299,23 +299,23 @@
     # -- waiting
 
     def join(self, worker, key, mark):
-        mark.update(state="gathering", at=self.world.now)
+        mark.update(state="gathering", at=self.simulation.now)
         self.members[worker, key] = mark
-        self.world.started(worker, key[0], self.spec)
+        self.simulation.started(worker, key[0], self.spec)
         others = [
             g
-            for (j, a), g in self.world.gangs.items()
+            for (j, a), g in self.simulation.gangs.items()
             if j == self.job_id and a != self.attempt and g.members
         ]
         if others:
-            self.world.broken.append(f"two_attempts: {key} beside {others[0].attempt}")
-        if key[0] in self.world.completed:
+            self.simulation.broken.append(f"two_attempts: {key} beside {others[0].attempt}")
+        if key[0] in self.simulation.completed:
             worker.end(key, "done")
             return
         if worker.sick or self.spec.get("broken"):
-            self.world.after(0.2, lambda: self.leave(worker, key, mark, "error"))
-        self.world.after(
-            self.world.gang_wait_s, lambda: self.leave(worker, key, mark, "alone", "gathering")
+            self.simulation.after(0.2, lambda: self.leave(worker, key, mark, "error"))
+        self.simulation.after(
+            self.simulation.gang_wait_s, lambda: self.leave(worker, key, mark, "alone", "gathering")
         )
         self.begin()
 
@@ -326,10 +326,10 @@
             return
         self.started = True
         for mark in self.members.values():
-            self.world.waited += self.world.now - mark.pop("at")
+            self.simulation.waited += self.simulation.now - mark.pop("at")
             mark["state"] = "running"
         self.speed = min(worker.speed for worker, _ in self.members)
-        self.progress = self.world.progress.get(self.job_id, 0.0)
+        self.progress = self.simulation.progress.get(self.job_id, 0.0)
         self.go()
 
     def leave(self, worker, key, mark, why, only=None, **more):
@@ -341,45 +341,45 @@
         ):
             return
         if worker.hung_for():
-            self.world.after(
+            self.simulation.after(
                 worker.hung_for() + 0.01, lambda: self.leave(worker, key, mark, why, only, **more)
             )
             return
         if why == "alone":
-            self.world.alone.add((self.job_id, self.attempt))
+            self.simulation.alone.add((self.job_id, self.attempt))
         worker.end(key, why, **more)
 
     # -- running
 
     def length(self):
-        if self.job_id not in self.world.lengths:
-            self.world.lengths[self.job_id] = (
-                self.world.gang_rng.uniform(0.5, 1.5) * self.spec["runtime_s"]
+        if self.job_id not in self.simulation.lengths:
+            self.simulation.lengths[self.job_id] = (
+                self.simulation.gang_rng.uniform(0.5, 1.5) * self.spec["runtime_s"]
             )
-        return self.world.lengths[self.job_id]
+        return self.simulation.lengths[self.job_id]
 
     def go(self):
-        self.since = self.world.now
+        self.since = self.simulation.now
         self.turn += 1
         turn, left = self.turn, max(0.0, self.length() - self.progress) / self.speed
-        self.world.after(left, lambda: turn == self.turn and self.finish())
+        self.simulation.after(left, lambda: turn == self.turn and self.finish())
 
     def rest(self):
         """Progress stops."""
         if self.since is not None:
-            self.progress += (self.world.now - self.since) * self.speed
+            self.progress += (self.simulation.now - self.since) * self.speed
         self.since = None
         self.turn += 1
 
     def finish(self):
         self.rest()
         self.over = True
-        self.world.completed.update(f"{self.job_id}/{i}" for i in range(self.spec["pages"]))
+        self.simulation.completed.update(f"{self.job_id}/{i}" for i in range(self.spec["pages"]))
         for worker, key in list(self.members):
             worker.end(key, "done")
 
     def checkpoint(self):
-        every, kept = self.spec["proof_s"], self.world.progress.get(self.job_id, 0.0)
+        every, kept = self.spec["proof_s"], self.simulation.progress.get(self.job_id, 0.0)
         return max(kept, int(self.progress / every + 1e-9) * every) if every > 0 else 0.0
 
     def gone(self, worker, key, mark):
@@ -387,7 +387,7 @@
         if self.members.pop((worker, key), None) is None:
             return  # it never had its image
         if "at" in mark:
-            self.world.waited += self.world.now - mark.pop("at")
+            self.simulation.waited += self.simulation.now - mark.pop("at")
         elif self.started and not self.over and not self.safe:
             self.fail()
 
@@ -396,22 +396,24 @@
         if self.broken:
             return
         self.fall_back()
-        within = self.world.gang_peer_s if within is None else within
+        within = self.simulation.gang_peer_s if within is None else within
         for (worker, key), mark in self.members.items():
-            wait = self.world.gang_rng.uniform(0.3, 1.0) * within
-            self.world.after(wait, functools.partial(self.leave, worker, key, mark, "mates_gone"))
+            wait = self.simulation.gang_rng.uniform(0.3, 1.0) * within
+            self.simulation.after(
+                wait, functools.partial(self.leave, worker, key, mark, "mates_gone")
+            )
 
     def fall_back(self):
         self.rest()
         self.broken = True
-        self.world.progress[self.job_id] = self.checkpoint()
+        self.simulation.progress[self.job_id] = self.checkpoint()
 
     def hangs(self, worker):
         if not self.started or self.broken or self.safe or self.over:
             return
         self.rest()
-        until, within = worker.hung_until, self.world.gang_peer_s
-        wait = self.world.gang_rng.uniform(0.3, 0.7) * within
+        until, within = worker.hung_until, self.simulation.gang_peer_s
+        wait = self.simulation.gang_rng.uniform(0.3, 0.7) * within
 
         def notice():
             if (
@@ -422,7 +424,7 @@
             ):
                 self.fail(within - wait)
 
-        self.world.after(wait, notice)
+        self.simulation.after(wait, notice)
 
     def resumes(self):
         self.begin()
@@ -443,22 +445,22 @@
                 worker.end(key, "halted")
         else:
             if self.first_stop is None:
-                self.first_stop = self.world.now
+                self.first_stop = self.simulation.now
                 self.rest()
-                self.world.after(self.world.gang_peer_s, self.deadline)
+                self.simulation.after(self.simulation.gang_peer_s, self.deadline)
             if self.spec["proof_s"] <= 0 or grace < self.spec["flush_s"]:
                 self.lost("too little grace")
                 worker.end(key, "halted")
                 return
             self.told.add(key[0])
             mark["state"] = "flushing"
-            self.world.after(self.spec["flush_s"], lambda: self.saved(worker, key, mark))
+            self.simulation.after(self.spec["flush_s"], lambda: self.saved(worker, key, mark))
 
     def saved(self, worker, key, mark):
         if worker.tasks.get(key) is not mark or mark["state"] != "flushing":
             return
         if worker.hung_for():
-            self.world.after(worker.hung_for() + 0.01, lambda: self.saved(worker, key, mark))
+            self.simulation.after(worker.hung_for() + 0.01, lambda: self.saved(worker, key, mark))
             return
         mark["kept"] = True
         if self.broken:
@@ -490,7 +492,7 @@
         if ready and (self.late or self.safe or len(ready) == len(self.members)):
             if not self.safe:
                 self.safe = True
-                self.world.progress[self.job_id] = self.progress
+                self.simulation.progress[self.job_id] = self.progress
             for (worker, key), mark in ready:
                 self.leave(worker, key, mark, "halted", saved=True)
 
@@ -502,27 +504,27 @@
             and not (self.broken or self.safe or self.over)
             and loss > 1e-6
             and self.spec["proof_s"] > 0
-            and self.job_id not in self.world.unwanted
+            and self.job_id not in self.simulation.unwanted
         ):
-            self.world.lost_saves.append((self.job_id, self.attempt, why, round(loss, 3)))
+            self.simulation.lost_saves.append((self.job_id, self.attempt, why, round(loss, 3)))
 
 
 class Worker:
     """A machine and the tasks on it."""
 
-    def __init__(self, world, name, zone, spot):
-        self.world, self.name, self.zone, self.spot = world, name, zone, spot
+    def __init__(self, simulation, name, zone, spot):
+        self.simulation, self.name, self.zone, self.spot = simulation, name, zone, spot
         self.session, self.seq, self.token = 1, 0, 0
         self.tasks = {}
-        self.renewed = world.now
+        self.renewed = simulation.now
         self.alive = True
         self.sick = False
         self.notice = None
         self.hung_until = 0.0
         self.speed = 1.0 - 0.1 * random.Random(name).random()
         self.sent = []
-        self.node = world.rng.randrange(len(world.names))
-        world.after(0.01, self.report)
+        self.node = simulation.rng.randrange(len(simulation.names))
+        simulation.after(0.01, self.report)
         self.watch_lease()
 
     def watch_lease(self):
@@ -530,17 +532,17 @@
             return
         # A machine that hangs beyond its lease has lost its tasks all the same.
         self.mind_lease()
-        self.world.after(0.1, self.watch_lease)
+        self.simulation.after(0.1, self.watch_lease)
 
     def mind_lease(self):
-        if self.world.now - self.renewed > self.world.lease_s:
+        if self.simulation.now - self.renewed > self.simulation.lease_s:
             self.drop_all()
             self.session += 1
-            self.renewed = self.world.now
+            self.renewed = self.simulation.now
 
     @property
     def hung(self):
-        return self.world.now < self.hung_until
+        return self.simulation.now < self.hung_until
 
     def drop_all(self):
         """All tasks are gone without an exit."""
@@ -551,12 +553,12 @@
 
     def hang(self, seconds):
         """Execute, report and answer nothing for a while."""
-        self.hung_until = max(self.hung_until, self.world.now + seconds)
+        self.hung_until = max(self.hung_until, self.simulation.now + seconds)
         for mark in list(self.tasks.values()):
             mark["late"] = mark.get("late", 0.0) + seconds
             if "gang" in mark:
                 mark["gang"].hangs(self)
-        self.world.after(seconds, self.resume)
+        self.simulation.after(seconds, self.resume)
 
     def resume(self):
         if self.alive and not self.hung_for():
@@ -566,7 +568,7 @@
                     mark["gang"].resumes()
 
     def hung_for(self):
-        left = self.hung_until - self.world.now
+        left = self.hung_until - self.simulation.now
         return left if left > 1e-6 else 0.0
 
     def body(self):
@@ -598,20 +600,20 @@
         if not self.alive:
             return
         if self.hung_for():
-            self.world.after(self.hung_for() + 0.01, self.report)
+            self.simulation.after(self.hung_for() + 0.01, self.report)
             return
-        sent, session = self.world.now, self.session
-        target = self.world.names[self.node]
+        sent, session = self.simulation.now, self.session
+        target = self.simulation.names[self.node]
         answered = []
 
         def reply(status, body):
             if answered or not self.alive:
                 return
             if self.hung_for():
-                self.world.after(self.hung_for() + 0.01, lambda: reply(0, b"{}"))
+                self.simulation.after(self.hung_for() + 0.01, lambda: reply(0, b"{}"))
                 return
             answered.append(True)
-            if self.world.now - sent > 4.0:
+            if self.simulation.now - sent > 4.0:
                 # The worker drops answers that took longer.
                 status = 0
             if status == 200:
@@ -620,27 +622,27 @@
                     self.token = answer["baton"]
                     self.renewed = max(self.renewed, sent)
                     self.execute(answer["orders"])
-                self.world.after(self.world.rng.uniform(0.75, 1.25), self.report)
+                self.simulation.after(self.simulation.rng.uniform(0.75, 1.25), self.report)
                 return
             hint = json.loads(body).get("editor") if status == 421 else None
-            if hint in self.world.names and hint != target:
-                self.node = self.world.names.index(hint)
-                self.world.after(0.1, self.report)
+            if hint in self.simulation.names and hint != target:
+                self.node = self.simulation.names.index(hint)
+                self.simulation.after(0.1, self.report)
             else:
-                self.node = (self.node + 1) % len(self.world.names)
-                self.world.after(1.0, self.report)
+                self.node = (self.node + 1) % len(self.simulation.names)
+                self.simulation.after(1.0, self.report)
 
         body = self.body()
         self.sent.append((target, body))
-        self.world.to_node(self.name, target, body, reply)
-        self.world.maybe_copied(target, body)
-        self.world.after(4.0, lambda: reply(0, b"{}"))
+        self.simulation.to_node(self.name, target, body, reply)
+        self.simulation.maybe_copied(target, body)
+        self.simulation.after(4.0, lambda: reply(0, b"{}"))
 
     def direct(self, raw, reply):
         if not self.alive:
             return
         if self.hung_for():
-            self.world.after(self.hung_for() + 0.01, lambda: self.direct(raw, reply))
+            self.simulation.after(self.hung_for() + 0.01, lambda: self.direct(raw, reply))
             return
         order = json.loads(raw)
         if order["baton"] < self.token or order["shift"] != self.session:
@@ -668,8 +670,8 @@
         if key in self.tasks:
             return
         task, _ = key
-        spec = self.world.specs.get(task.split("/")[0])
-        why = self.world.refusals.pop(task, None)
+        spec = self.simulation.specs.get(task.split("/")[0])
+        why = self.simulation.refusals.pop(task, None)
         used = sum(t["cpus"] for t in self.tasks.values() if t["state"] != "exited")
         if why:
             pass
@@ -685,9 +687,9 @@
         self.tasks[key] = {"state": "pulling", "cpus": spec["cpus"]}
         mark = self.tasks[key]
         if spec["form"] == "ensemble":
-            mark["gang"] = self.world.gang(task.split("/")[0], key[1])
-        fetch_s = self.world.fetch_s.get(task, 0.3)
-        self.world.after(fetch_s, lambda: self.begin(key, mark, spec))
+            mark["gang"] = self.simulation.gang(task.split("/")[0], key[1])
+        fetch_s = self.simulation.fetch_s.get(task, 0.3)
+        self.simulation.after(fetch_s, lambda: self.begin(key, mark, spec))
 
     def begin(self, key, mark, spec):
         if not self.alive or self.tasks.get(key) is not mark or mark["state"] != "pulling":
@@ -698,21 +700,21 @@
             mark["gang"].join(self, key, mark)
             return
         mark["state"] = "running"
-        self.world.started(self, key[0], spec)
-        wait = 0.2 if self.sick else self.world.rng.uniform(0.5, 1.5) * spec["runtime_s"]
+        self.simulation.started(self, key[0], spec)
+        wait = 0.2 if self.sick else self.simulation.rng.uniform(0.5, 1.5) * spec["runtime_s"]
         why = "error" if self.sick or spec.get("broken") else "done"
 
         def over():
             if self.tasks.get(key) is mark and not self.held_up(mark, over):
                 self.end(key, why)
 
-        self.world.after(wait, over)
+        self.simulation.after(wait, over)
 
     def held_up(self, mark, action):
         """Whether the machine hung meanwhile: then the action is only due that much later."""
         late = mark.pop("late", 0.0)
         if late:
-            self.world.after(late, action)
+            self.simulation.after(late, action)
         return bool(late)
 
     def end(self, key, why, saved=False):
@@ -720,7 +722,7 @@
         if self.alive and mark["state"] != "exited":
             mark.update(state="exited", why=why, saved=saved)
             if why == "done":
-                self.world.completed.add(key[0])
+                self.simulation.completed.add(key[0])
             if "gang" in mark:
                 mark["gang"].gone(self, key, mark)
 
@@ -739,8 +741,8 @@
 class Cloud:
     """Rents machines."""
 
-    def __init__(self, world):
-        self.world = world
+    def __init__(self, simulation):
+        self.simulation = simulation
         self.bookings, self.machines, self.names = {}, {}, itertools.count(1)
         self.offer = [TYPE]
         self.capacity = {(z, s): 3 for z in "abc" for s in (True, False)}
@@ -776,11 +778,11 @@
                                 "rack": "box",
                                 "hall": m["place"][0],
                                 "borrowed": m["place"][1],
-                                "held_s": self.world.now - m["at"],
+                                "held_s": self.simulation.now - m["at"],
                                 "status": "running" if m["worker"] else "starting",
                             }
                             for n, m in sorted(self.machines.items())
-                            if self.world.now - m["at"] > 3.0
+                            if self.simulation.now - m["at"] > 3.0
                         ],
                         "truncated": False,
                     }
@@ -789,14 +791,14 @@
 
     def rent(self, place):
         name = f"m-{next(self.names):06d}"
-        self.machines[name] = {"place": place, "at": self.world.now, "worker": None}
-        self.world.after(self.world.rng.uniform(6, 15), lambda: self.boot(name))
+        self.machines[name] = {"place": place, "at": self.simulation.now, "worker": None}
+        self.simulation.after(self.simulation.rng.uniform(6, 15), lambda: self.boot(name))
         return name
 
     def boot(self, name):
         machine = self.machines.get(name)
         if machine:
-            machine["worker"] = Worker(self.world, name, *machine["place"])
+            machine["worker"] = Worker(self.simulation, name, *machine["place"])
 
     def take(self, name):
         machine = self.machines.pop(name, None)
@@ -833,7 +835,7 @@
         self.before = {}
 
 
-class World:
+class Simulation:
     """The clock, the network and the checks of the rules."""
 
     def __init__(
@@ -1116,22 +1118,22 @@
         name = name or self.rng.choice(sorted(self.nodes))
         user = User()
         user.before = {j: s for j, s in self.told.items() if s in (wire.DONE, wire.CANCELLED)}
-        action(self.nodes[name].desk, user)
+        action(self.nodes[name].user_api, user)
         self.drain(name)
         return user
 
     def submit(self, spec, name=None):
         self.specs[spec["id"]] = spec
         return self.ask(
-            lambda desk, user: desk.submit(self.now, user, json.dumps(spec).encode()), name
+            lambda user_api, user: user_api.submit(self.now, user, json.dumps(spec).encode()), name
         )
 
     def poll(self, job_id, name=None):
-        return self.ask(lambda desk, user: desk.poll(self.now, user, job_id), name)
+        return self.ask(lambda user_api, user: user_api.poll(self.now, user, job_id), name)
 
     def cancel(self, job_id, name=None):
         self.unwanted.add(job_id)
-        return self.ask(lambda desk, user: desk.cancel(self.now, user, job_id), name)
+        return self.ask(lambda user_api, user: user_api.cancel(self.now, user, job_id), name)
 
     def gang(self, job_id, attempt):
         if (job_id, attempt) not in self.gangs:
@@ -1196,7 +1198,7 @@
     def check_sums(self):
         """What owners keep up as they go must equal a count from the beginning."""
         for node in self.nodes.values():
-            for owner in node.owners:
+            for owner in node.schedulers:
                 for team in owner.by_team:
                     active = [
                         p
@@ -1207,13 +1209,13 @@
                     counted = sum(p.cpus for p in active), sum(p.gpus for p in active)
                     kept = owner.tally.of(team)
                     assert all(abs(a - b) < 1e-6 for a, b in zip(kept, counted, strict=True))
-                ghosts = {
+                unidentified = {
                     m.name
                     for m in owner.machines.values()
                     for p in m.tasks.values()
-                    if p.active and p.team == GHOST
+                    if p.active and p.team == UNIDENTIFIED
                 }
-                assert owner.tally.ghosts == ghosts
+                assert owner.tally.unidentified == unidentified
                 assert owner.unsettled <= set(owner.machines)
 
     def check_owners(self):
@@ -1221,8 +1223,8 @@
         owned = [
             (o.pool, n)
             for n, node in self.nodes.items()
-            for o in node.owners
-            if node.holder.entitled(self.now)
+            for o in node.schedulers
+            if node.grant_client.entitled(self.now)
         ]
         assert len({pool for pool, _ in owned}) == len(owned), f"two owners: {owned}"
 
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -8,10 +8,10 @@
 
 from copperpass import settings as settings_module
 from copperpass.core.authority import Authority, Times, times_of
-from copperpass.core.ledger import Ledger
 from copperpass.core.ports import Outbox, Outcome
+from copperpass.core.transactions import TransactionQueue
 from copperpass.settings import SettingsError
-from tests.world import State, raw_settings
+from tests.simulation import State, raw_settings
 
 
 class Model:
@@ -44,11 +44,11 @@
 
     def boot(self, name):
         out = Outbox()
-        ledger = Ledger(out, 1000.0, 16, self.times.ttl / 3)
+        transactions = TransactionQueue(out, 1000.0, 16, self.times.ttl / 3)
         others = [n for n in self.names if n != name]
         times = self.own_times.get(name, self.times)
         self.nodes[name] = Authority(
-            name, others, times, out, ledger, self.rng, lambda *a: None, self.clock(name)
+            name, others, times, out, transactions, self.rng, lambda *a: None, self.clock(name)
         )
         self.seen[name] = 0
 
@@ -64,12 +64,12 @@
                 self.watch(name)
                 node = self.nodes[name]
                 node.tick(self.clock(name))
-                node.ledger.pump(self.clock(name))
+                node.transactions.pump(self.clock(name))
                 self.drain(name)
         entitled = [n for n in self.names if self.nodes[n].entitled(self.clock(n))]
         self.most = max(self.most, len(entitled))
         self.led.update(entitled)
-        self.bridges += sum(1 for n in entitled if self.nodes[n].bridging(self.clock(n)))
+        self.bridges += sum(1 for n in entitled if self.nodes[n].extending(self.clock(n)))
 
     def watch(self, name):
         if self.state.down or name in self.refused:
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -10,7 +10,7 @@
 from copperpass.core.fleet import Machine
 from copperpass.core.jobs import make_job
 from copperpass.settings import Objective
-from tests.world import TYPE, job
+from tests.simulation import TYPE, job
 
 AIMS = [Objective("wait", "quick", within_s=4.0), Objective("finished", "slow", within_s=100.0)]
 
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -9,16 +9,16 @@
 from copperpass.core.directory import Contact, Entry, Status
 
 FRAMES = [
-    peer.CalledOff("req-000412"),
+    peer.JobCancelled("req-000412"),
     peer.Hello("n1"),
-    peer.Beat(7, peer.NEVER),
-    peer.Ask(7, 9),
+    peer.Heartbeat(7, peer.NEVER),
+    peer.PromiseRequest(7, 9),
     peer.Promise(7, 9, True),
     peer.Promise(7, 9, False),
-    peer.Counts({"req-000001": 3, "req-000002": 1}),
-    peer.Counts({}),
-    peer.Handed(7, b"{}" * 30000),
-    peer.Answered(7, 421, b""),
+    peer.RunningCounts({"req-000001": 3, "req-000002": 1}),
+    peer.RunningCounts({}),
+    peer.RelayedReport(7, b"{}" * 30000),
+    peer.RelayedAnswer(7, 421, b""),
 ]
 
 
@@ -57,9 +57,9 @@
 
 CONTACT = Contact("10.0.0.9:1", 3, 77)
 SHARES = [
-    peer.Tied(3, 1, (("req-000001", "a"), ("req-000412", "b"))),
-    peer.Tied(3, 0, ()),
-    peer.Pull(3, 1 << 61, 9, 12),
+    peer.ZoneTies(3, 1, (("req-000001", "a"), ("req-000412", "b"))),
+    peer.ZoneTies(3, 0, ()),
+    peer.GrantRequest(3, 1 << 61, 9, 12),
     peer.Grant(3, 1 << 61, 9, 1400, 55, True, 4, (peer.Share(1, "n2", 7, 90, 12),)),
     peer.Entries(
         3,
@@ -78,7 +78,7 @@
         3,
         (Status("m-1", 1 << 45, True, True, False, True, 1, False, 4.0, CONTACT), Status("m-2", 7)),
     ),
-    peer.Wants(3, 1, 12, (("req-000001", 40, 2.5),)),
+    peer.MachineRequests(3, 1, 12, (("req-000001", 40, 2.5),)),
 ]
 
 
--- a/tests/test_owner.py
+++ b/tests/test_pool_scheduler.py
@@ -10,10 +10,10 @@
 from copperpass.core.directory import ANYBODY, Contact, Entry, base_token
 from copperpass.core.fleet import Machine
 from copperpass.core.jobs import JobTable
-from copperpass.core.ledger import Ledger
-from copperpass.core.owner import Owner
+from copperpass.core.pool_scheduler import PoolScheduler
 from copperpass.core.ports import Outbox, Outcome
-from tests.world import TYPE, job, raw_settings
+from copperpass.core.transactions import TransactionQueue
+from tests.simulation import TYPE, job, raw_settings
 
 
 class Bench:
@@ -23,15 +23,15 @@
         cluster = settings_module.parse(raw_settings()).cluster
         self.out, self.jobs, self.now = Outbox(), JobTable(), 10.0
         self.fresh_at = float("-inf")
-        ledger = Ledger(self.out, 60.0, 16, 1.0)
+        transactions = TransactionQueue(self.out, 60.0, 16, 1.0)
         types = {
             "box": wire.decode(json.dumps({"racks": [TYPE]}).encode(), wire.MachineTypes).types[0]
         }
         self.token = base_token(1, 1)
-        self.owner = Owner(
+        self.owner = PoolScheduler(
             cluster,
             self.out,
-            ledger,
+            transactions,
             self.jobs,
             types,
             {},
@@ -185,7 +185,7 @@
     bench.seq += 1
     gone, over = bench.jobs.saw(bench.now, "c/live/req-000001", None, 80)
     assert over
-    bench.owner.job_over(bench.now, gone)
+    bench.owner.job_ended(bench.now, gone)
     (kill,) = bench.take("worker")
     assert json.loads(kill.body)["orders"][0]["verb"] == wire.STOP
     kill.then(bench.now, Outcome(0))
@@ -360,8 +360,8 @@
     ended = [(t, takes[t], "exited", "done") for t in ("req-000001/0", "req-000002/0")]
     call.then(bench.now, Outcome(200, wire.encode(bench.message(ended, seq=bench.seq + 1))))
     bench.seq += 1
-    bench.now += bench.owner.progress.gather_s
-    bench.owner.progress.tick(bench.now)
+    bench.now += bench.owner.completions.gather_s
+    bench.owner.completions.tick(bench.now)
     (write,) = bench.take("state")
     (put,) = json.loads(write.body)["writes"]
     assert put["put"].startswith("c/ends/") and set(put["value"]) == {"req-000001", "req-000002"}
@@ -377,11 +377,11 @@
     call, attempt = bench.start(tasks=2)
     ended = [("req-000001/0", attempt, "exited", "done")]
     call.then(bench.now, Outcome(200, wire.encode(bench.message(ended, seq=bench.seq + 1))))
-    bench.owner.progress.tick(bench.now + 5)
+    bench.owner.completions.tick(bench.now + 5)
     (write,) = bench.take("state")
     put = json.loads(write.body)["writes"][0]
     write.then(bench.now, Outcome(0))
-    bench.jobs.saw_ends(put["put"], json.dumps(put["value"]).encode())
+    bench.jobs.saw_completions(put["put"], json.dumps(put["value"]).encode())
     assert bench.job.is_done(0) and not bench.job.finished and not bench.job.results
 
 
@@ -389,7 +389,7 @@
     # The record of ends was written with the last end in it, and then that leader was gone.
     bench = Bench()
     bench.add(tasks=2)
-    bench.jobs.saw_ends("c/ends/0", b'{"req-000001":"Aw=="}')
+    bench.jobs.saw_completions("c/ends/0", b'{"req-000001":"Aw=="}')
     assert bench.job.done_count == 2
     bench.owner._scan(bench.now)
     (write,) = bench.take("state")
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -3,41 +3,43 @@
 import json
 
 from copperpass import wire
-from copperpass.core.ledger import GATHERED, URGENT, Ledger, Op
+from copperpass.core.fleet_store import FleetStore
 from copperpass.core.ports import Outbox, Outcome
-from copperpass.core.roster import Roster
+from copperpass.core.transactions import GATHERED, URGENT, Op, TransactionQueue
 from copperpass.core.view import View
 
 
 def test_users_writes_do_not_queue_behind_gathered_ones():
     out, order = Outbox(), []
-    ledger = Ledger(out, write_rps=10.0, txn_ops=4, timeout=1.0)
+    transactions = TransactionQueue(out, write_rps=10.0, txn_ops=4, timeout=1.0)
     for n in range(30):
-        ledger.submit(
+        transactions.submit(
             0.0,
             Op({}, [wire.put(f"g/{n}", 1)], lambda *a, n=n: order.append(f"g{n}"), 99.0, GATHERED),
         )
-    ledger.submit(0.0, Op({}, [wire.put("u/1", 1)], lambda *a: order.append("user"), 99.0, URGENT))
+    transactions.submit(
+        0.0, Op({}, [wire.put("u/1", 1)], lambda *a: order.append("user"), 99.0, URGENT)
+    )
     now = 0.0
     while "user" not in order and now < 5.0:
         calls, out.calls = out.calls, []
         for call in calls:
             call.then(now, Outcome(200, b'{"issue":1}'))
         now += 0.05
-        ledger.pump(now)
+        transactions.pump(now)
     assert "user" in order and now < 0.5 and len(order) < 20
 
 
-def roster(version=0, record=None):
+def fleet_store(version=0, record=None):
     out = Outbox()
-    ledger = Ledger(out, 60.0, 16, 1.0)
-    made = Roster(ledger, lambda: 7, 32768.0, 0.1, 10.0)
+    transactions = TransactionQueue(out, 60.0, 16, 1.0)
+    made = FleetStore(transactions, lambda: 7, 32768.0, 0.1, 10.0)
     made.load(record, version)
     return made, out
 
 
 def test_a_booking_is_stored_before_it_is_sent_and_names_its_machines_after():
-    made, out = roster()
+    made, out = fleet_store()
     sent, place = [], ("box", "a", True)
     made.book(0.0, "b-1-1", place, 2, lambda now, ok: sent.append(ok))
     (write,) = out.calls
@@ -48,14 +50,14 @@
     assert sent == [True]
     # A successor that finds the booking repeats it; one that finds the names needn't.
     value = wire.decode(json.dumps(body["writes"][0]["value"]).encode(), wire.FleetRecord)
-    successor, _ = roster(5, value)
+    successor, _ = fleet_store(5, value)
     assert successor.booked == {"b-1-1": (place, 2)}
     successor.ended(0.2, "b-1-1", ["m-1", "m-2"])
     assert not successor.booked and set(successor.places) == {"m-1", "m-2"}
 
 
 def test_a_machine_counts_as_stored_only_when_the_write_that_marks_it_has_been_applied():
-    made, out = roster()
+    made, out = fleet_store()
     marked = []
     made.on_stored = lambda now, names: marked.extend(names)
     made.came_up(0.0, "m-1", ("box", "a", True))
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -13,28 +13,28 @@
 
 from copperpass import peer, wire
 from copperpass import settings as settings_module
+from copperpass.core.completions import CompletionStore
 from copperpass.core.directory import Contact, Entry, Status
+from copperpass.core.fleet_store import FleetStore, StoredFleet
 from copperpass.core.jobs import JobTable, make_job, pack_done
-from copperpass.core.ledger import APPLIED, INVALID, PLAIN, Ledger, Op
 from copperpass.core.ports import Outbox, Outcome
-from copperpass.core.progress import Progress
-from copperpass.core.roster import Roster, Stored
+from copperpass.core.transactions import APPLIED, INVALID, PLAIN, Op, TransactionQueue
 from tests import production
-from tests.world import State, World, job, raw_settings
+from tests.simulation import Simulation, State, job, raw_settings
 
 COMING = {"write_rps": 15.0, "value_kb": 2.0, "txn_ops": 5}
 CONTACT = Contact("10.0.0.9:1", 3, 77)
 # Frames as the version in production packs them.
 FRAMES = [
     (peer.Hello("n1"), "63700301000000026e31"),
-    (peer.Beat(7, peer.NEVER), "637003020000000c0000000000000007ffffffff"),
-    (peer.Ask(7, 9), "637003030000001000000000000000070000000000000009"),
+    (peer.Heartbeat(7, peer.NEVER), "637003020000000c0000000000000007ffffffff"),
+    (peer.PromiseRequest(7, 9), "637003030000001000000000000000070000000000000009"),
     (peer.Promise(7, 9, True), "63700304000000110000000000000007000000000000000901"),
-    (peer.Counts({"req-000001": 3}), "637003050000000f0a000000037265712d303030303031"),
-    (peer.Handed(7, b"{}"), "6370030600000006000000077b7d"),
-    (peer.Answered(7, 421, b""), "63700307000000060000000701a5"),
+    (peer.RunningCounts({"req-000001": 3}), "637003050000000f0a000000037265712d303030303031"),
+    (peer.RelayedReport(7, b"{}"), "6370030600000006000000077b7d"),
+    (peer.RelayedAnswer(7, 421, b""), "63700307000000060000000701a5"),
     (
-        peer.Pull(3, 1 << 61, 9, 12),
+        peer.GrantRequest(3, 1 << 61, 9, 12),
         "637003080000001c0000000000000003200000000000000000000009000000000000000c",
     ),
     (
@@ -75,7 +75,7 @@
         "00004d036d2d32000000000000000700ff00000000",
     ),
     (
-        peer.Wants(3, 1, 12, (("req-000001", 40, 2.5),)),
+        peer.MachineRequests(3, 1, 12, (("req-000001", 40, 2.5),)),
         "6370030c00000026000000000000000301000000000000000c00010a7265712d30303030303100000028"
         "40200000",
     ),
@@ -122,7 +122,7 @@
     written = json.loads(wire.encode(record))
     # Whatever it wrote is written back; beside it may stand only what it reads without harm.
     assert written == {**written, **json.loads(raw)}
-    old = production.load()
+    old = production.load(production.VERSION_0_2_0)
     theirs = getattr(old.wire, getattr(kind, "__name__", ""), kind)
     again = old.wire.decode(wire.encode(record), theirs)
     assert json.loads(old.wire.encode(again)) == json.loads(
@@ -157,7 +157,7 @@
         """Watches are not followed to their end here."""
 
     def wrote(self, writes):
-        """Part of the world's face."""
+        """Part of the simulation's interface."""
 
     def win(self):
         """A new leader: what it lists, and the version that guards its writes."""
@@ -177,23 +177,31 @@
         return answers[0]
 
     def stored(self):
-        held = Stored()
+        held = StoredFleet()
         for key, (value, version, _) in self.state.data.items():
             held.saw(key, json.dumps(value).encode(), version)
         return held
 
-    def roster(self, proven=True, limits_drop=True, rate=15.0, least=2048.0):
+    def fleet_store(self, proven=True, limits_drop=True, rate=15.0, least=2048.0):
         token = self.win()
         held = self.stored()
-        ledger = Ledger(self.out, rate, 5, 1.0)
-        made = Roster(
-            ledger, lambda: token, 32768.0, 4 / rate, 12.0, least, 5, lambda: proven, limits_drop
+        transactions = TransactionQueue(self.out, rate, 5, 1.0)
+        made = FleetStore(
+            transactions,
+            lambda: token,
+            32768.0,
+            4 / rate,
+            12.0,
+            least,
+            5,
+            lambda: proven,
+            limits_drop,
         )
         made.load(held.record, held.version, held.pages)
         made.begin(self.now)
         return made
 
-    def step(self, roster):
+    def step(self, fleet_store):
         """Serve what was asked, bring the watch's news, let a moment pass."""
         calls, self.out.calls = self.out.calls, []
         for call in calls:
@@ -203,23 +211,25 @@
                 self.late.append(call)
             call.then(self.now, Outcome(*answer) if fate == "served" else Outcome(0))
         before, held = getattr(self, "seen", {}), self.stored()
-        roster.saw(held.version)
+        fleet_store.saw(held.version)
         for number in {*held.pages, *before}:
             version = held.pages[number][1] if number in held.pages else self.state.revision
-            roster.saw_page(number, version, number in held.pages)
+            fleet_store.saw_page(number, version, number in held.pages)
         self.seen = dict(held.pages)
         self.now += 0.05
-        roster.ledger.pump(self.now)
-        roster.tick(self.now)
+        fleet_store.transactions.pump(self.now)
+        fleet_store.tick(self.now)
 
-    def run(self, roster, seconds):
+    def run(self, fleet_store, seconds):
         for _ in range(int(seconds / 0.05)):
-            self.step(roster)
+            self.step(fleet_store)
 
     def truth(self):
         """What a successor would know: bookings, machines, and which of them are up."""
         held = self.stored()
-        reader = Roster(Ledger(Outbox(), 15.0, 5, 1.0), lambda: 0, 32768.0, 1.0, 1.0, 2048.0, 5)
+        reader = FleetStore(
+            TransactionQueue(Outbox(), 15.0, 5, 1.0), lambda: 0, 32768.0, 1.0, 1.0, 2048.0, 5
+        )
         reader.load(held.record, held.version, held.pages)
         return (dict(reader.booked), dict(reader.places), set(reader.up))
 
@@ -231,60 +241,62 @@
 ]
 
 
-def fill(service, roster, machines=550):
+def fill(service, fleet_store, machines=550):
     """Rent in the leader's manner: each place in turn, some 20 a booking; they come up."""
     names = itertools.count(1)
-    while len(roster.places) < machines:
+    while len(fleet_store.places) < machines:
         place = PLACES[next(names) % len(PLACES)]
-        count = min(20, machines - len(roster.places))
+        count = min(20, machines - len(fleet_store.places))
         request, sent = f"b-1-{next(names)}", []
-        roster.book(service.now, request, place, count, lambda now, ok, s=sent: s.append(ok))
+        fleet_store.book(service.now, request, place, count, lambda now, ok, s=sent: s.append(ok))
         for _ in range(200):
             if sent:
                 break
-            service.step(roster)
+            service.step(fleet_store)
         assert sent == [True]
-        roster.ended(service.now, request, [f"m-{next(names):06d}" for _ in range(count)])
-        for name in sorted(set(roster.places) - roster.up)[:20]:
-            roster.came_up(service.now, name, roster.places[name])
-    service.run(roster, 12.0)
+        fleet_store.ended(service.now, request, [f"m-{next(names):06d}" for _ in range(count)])
+        for name in sorted(set(fleet_store.places) - fleet_store.up)[:20]:
+            fleet_store.came_up(service.now, name, fleet_store.places[name])
+    service.run(fleet_store, 12.0)
 
 
 def test_a_fleet_of_several_hundred_machines_fits_and_costs_few_writes():
     service = Service(**COMING)
-    roster = service.roster()
+    fleet_store = service.fleet_store()
     marked = set()
-    roster.on_stored = lambda now, names: marked.update(names)
+    fleet_store.on_stored = lambda now, names: marked.update(names)
     began, writes = service.now, service.state.writes
-    fill(service, roster)
+    fill(service, fleet_store)
     state = service.state
-    assert roster.paged and "c/fleet" not in state.data and not roster.full()
-    assert service.truth() == ({}, roster.places, roster.up) and len(roster.up) == 550
-    assert marked | roster.up == marked | roster.stored == marked
+    assert fleet_store.paged and "c/fleet" not in state.data and not fleet_store.full()
+    assert (
+        service.truth() == ({}, fleet_store.places, fleet_store.up) and len(fleet_store.up) == 550
+    )
+    assert marked | fleet_store.up == marked | fleet_store.stored == marked
     # A quarter of the budget at most, in values and transactions that are allowed.
     assert state.writes - writes <= (service.now - began) * 15.0 / 4 + 5
     assert (state.too_large, state.too_fast) == (0, 0) and state.largest <= 2048
-    assert len(roster.pages) <= 8
+    assert len(fleet_store.pages) <= 8
     # One machine less is one write, and not before others could share it.
     before = state.writes
-    for name in sorted(roster.places)[:3]:
-        roster.gone(service.now, name)
-    service.run(roster, 1.0)
+    for name in sorted(fleet_store.places)[:3]:
+        fleet_store.gone(service.now, name)
+    service.run(fleet_store, 1.0)
     assert state.writes == before
-    service.run(roster, 6.0)
-    assert 1 <= state.writes - before <= 3 and service.truth()[1] == roster.places
+    service.run(fleet_store, 6.0)
+    assert 1 <= state.writes - before <= 3 and service.truth()[1] == fleet_store.places
 
 
 def test_names_that_do_not_fit_their_page_leave_the_booking_until_they_are_stored():
     service = Service(**COMING)
-    roster = service.roster()
+    fleet_store = service.fleet_store()
     sent = []
-    roster.book(service.now, "b-1-1", PLACES[0], 50, lambda now, ok: sent.append(ok))
-    service.run(roster, 1.0)
+    fleet_store.book(service.now, "b-1-1", PLACES[0], 50, lambda now, ok: sent.append(ok))
+    service.run(fleet_store, 1.0)
     names = [f"machine-with-a-long-name-{n:06d}" for n in range(50)]
-    roster.ended(service.now, "b-1-1", names)
+    fleet_store.ended(service.now, "b-1-1", names)
     for _ in range(200):
-        service.step(roster)
+        service.step(fleet_store)
         booked, places, _ = service.truth()
         assert "b-1-1" in booked or set(names) <= set(places)
     assert service.truth()[:2] == ({}, dict.fromkeys(names, PLACES[0]))
@@ -314,14 +326,14 @@
         service = Service()
         old_form(service)
         truth = service.truth()
-        roster = service.roster()
+        fleet_store = service.fleet_store()
         left = iter(["served"] * steps)
         service.fate = lambda body, left=left: next(left, fate)
         for _ in range(200):
-            service.step(roster)
+            service.step(fleet_store)
             assert service.truth() == truth
         service.fate = lambda body: "served"
-        successor = service.roster()
+        successor = service.fleet_store()
         assert (successor.booked, successor.places, successor.up) == truth
         late, service.late = service.late, []
         for call in late:
@@ -352,28 +364,28 @@
                 ]
             },
         )
-    roster = service.roster(proven=False)
-    roster.came_up(service.now, "m-new", PLACES[0])
-    service.run(roster, 3.0)
+    fleet_store = service.fleet_store(proven=False)
+    fleet_store.came_up(service.now, "m-new", PLACES[0])
+    service.run(fleet_store, 3.0)
     assert "m-new" in service.truth()[1] and "m-new" in str(service.state.data["c/fleet"])
     assert len(service.stored().pages) == 9
-    roster = service.roster()
-    service.run(roster, 12.0)
+    fleet_store = service.fleet_store()
+    service.run(fleet_store, 12.0)
     assert "x-" not in str(service.stored()) and "m-new" in service.truth()[1]
-    assert len(service.stored().pages) == len(roster.pages) < 9
+    assert len(service.stored().pages) == len(fleet_store.pages) < 9
 
 
 @pytest.mark.parametrize("limits_drop", [True, False])
 def test_a_refused_record_is_proof_of_the_upgrade_only_if_limits_were_announced(limits_drop):
     service = Service()
     old_form(service)
-    roster = service.roster(proven=False, limits_drop=limits_drop)
+    fleet_store = service.fleet_store(proven=False, limits_drop=limits_drop)
     service.state.drop(**COMING)
     sent, marked = [], set()
-    roster.on_stored = lambda now, names: marked.update(names)
-    roster.book(service.now, "b-9-1", PLACES[1], 2, lambda now, ok: sent.append(ok))
-    roster.came_up(service.now, "m-new", PLACES[0])
-    service.run(roster, 12.0)
+    fleet_store.on_stored = lambda now, names: marked.update(names)
+    fleet_store.book(service.now, "b-9-1", PLACES[1], 2, lambda now, ok: sent.append(ok))
+    fleet_store.came_up(service.now, "m-new", PLACES[0])
+    service.run(fleet_store, 12.0)
     assert ("c/fleet" not in service.state.data) == limits_drop
     assert sent[0] is limits_drop and ("m-new" in marked) == limits_drop
     assert ("m-new" in service.truth()[2]) == limits_drop
@@ -383,18 +395,18 @@
     # Applied late, it would bring an old truth back beside the pages.
     service = Service()
     proof = []
-    roster = service.roster()
-    roster.proven, roster.paged = lambda: bool(proof), False
+    fleet_store = service.fleet_store()
+    fleet_store.proven, fleet_store.paged = lambda: bool(proof), False
     service.fate = lambda body: "late"
-    roster.came_up(service.now, "m-1", PLACES[0])
-    service.step(roster)
+    fleet_store.came_up(service.now, "m-1", PLACES[0])
+    service.step(fleet_store)
     service.fate = lambda body: "served"
-    roster.came_up(service.now, "m-2", PLACES[0])
-    service.run(roster, 4.0)
+    fleet_store.came_up(service.now, "m-2", PLACES[0])
+    service.run(fleet_store, 4.0)
     proof.append(True)
-    service.run(roster, 4.0)
-    assert roster.stuck() and "c/fleet" in service.state.data
-    successor = service.roster()
+    service.run(fleet_store, 4.0)
+    assert fleet_store.stuck() and "c/fleet" in service.state.data
+    successor = service.fleet_store()
     service.run(successor, 4.0)
     (call,) = service.late
     assert service.serve(call)[0] == 409 and successor.paged and "c/fleet" not in service.state.data
@@ -407,10 +419,10 @@
     service.put("c/fleet/0", {"places": [{**place, "fresh": ["m-1", "m-2"]}]})
     service.put("c/fleet/1", {"places": [{**place, "up": ["m-1"], "fresh": ["m-3"]}]})
     truth = service.truth()
-    roster = service.roster()
-    roster.txn_ops = 1
+    fleet_store = service.fleet_store()
+    fleet_store.txn_ops = 1
     for _ in range(100):
-        service.step(roster)
+        service.step(fleet_store)
         assert service.truth() == truth and truth[2] == {"m-1"}
     assert str(service.state.data).count("'m-1'") == 1
 
@@ -418,14 +430,14 @@
 def test_a_page_that_a_late_removal_has_taken_is_written_again():
     # It was left over from a move, its removal had no answer, and then it was taken into use.
     service = Service()
-    roster = service.roster()
-    roster.came_up(service.now, "m-1", PLACES[0])
-    service.run(roster, 2.0)
+    fleet_store = service.fleet_store()
+    fleet_store.came_up(service.now, "m-1", PLACES[0])
+    service.run(fleet_store, 2.0)
     service.state.transaction(
         {"guards": [], "writes": [{"remove": "c/fleet/0"}]}, lambda status, body: None
     )
-    roster.came_up(service.now, "m-2", PLACES[0])
-    service.run(roster, 4.0)
+    fleet_store.came_up(service.now, "m-2", PLACES[0])
+    service.run(fleet_store, 4.0)
     assert service.truth()[2] == {"m-1", "m-2"}
 
 
@@ -450,13 +462,13 @@
     def lead(self):
         service, rng = self.service, self.rng
         least = 1024 * self.service.state.limits["value_kb"]
-        self.roster = service.roster(proven=False, rate=60.0, least=min(least, 2048.0))
+        self.fleet_store = service.fleet_store(proven=False, rate=60.0, least=min(least, 2048.0))
         # What one transaction would cover must hold when it takes several as well.
-        self.roster.txn_ops = rng.choice([1, 2, 5])
-        self.roster.proven = lambda: self.proof
-        self.roster.on_stored = lambda now, names: self.marked.update(names)
+        self.fleet_store.txn_ops = rng.choice([1, 2, 5])
+        self.fleet_store.proven = lambda: self.proof
+        self.fleet_store.on_stored = lambda now, names: self.marked.update(names)
         self.open = {}
-        for request in list(self.roster.booked):
+        for request in list(self.fleet_store.booked):
             # A successor asks the cloud again, which gives the same answer.
             self.cloud.setdefault(request, self.names(rng.randint(1, 9)))
             self.open[request] = True
@@ -467,39 +479,42 @@
         return [f"m-{filler}{next(self.numbers):06d}" for _ in range(count)]
 
     def change(self):
-        rng, now, roster = self.rng, self.service.now, self.roster
+        rng, now, fleet_store = self.rng, self.service.now, self.fleet_store
         kind = rng.random()
-        if kind < 0.25 and len(roster.places) < 250:
-            request, place = f"b-{next(self.numbers)}-{roster.token_version()}", rng.choice(PLACES)
+        if kind < 0.25 and len(fleet_store.places) < 250:
+            request, place = (
+                f"b-{next(self.numbers)}-{fleet_store.token_version()}",
+                rng.choice(PLACES),
+            )
 
             def then(n, ok):
-                if self.roster is not roster:
+                if self.fleet_store is not fleet_store:
                     return
                 if ok:
                     self.open[request] = True
                     self.cloud[request] = self.names(count)
                 else:
-                    roster.ended(n, request, [])
+                    fleet_store.ended(n, request, [])
 
             count = rng.randint(1, 20)
-            roster.book(now, request, place, count, then)
+            fleet_store.book(now, request, place, count, then)
         elif kind < 0.5 and self.open:
             request = rng.choice(sorted(self.open))
             del self.open[request]
-            place = roster.booked[request][0]
+            place = fleet_store.booked[request][0]
             self.machines.update(dict.fromkeys(self.cloud[request], place))
-            roster.ended(now, request, self.cloud[request])
-        elif kind < 0.8 and set(roster.places) - roster.up:
-            name = rng.choice(sorted(set(roster.places) - roster.up))
-            roster.came_up(now, name, roster.places[name])
-        elif kind < 0.97 and roster.places:
-            name = rng.choice(sorted(roster.places))
+            fleet_store.ended(now, request, self.cloud[request])
+        elif kind < 0.8 and set(fleet_store.places) - fleet_store.up:
+            name = rng.choice(sorted(set(fleet_store.places) - fleet_store.up))
+            fleet_store.came_up(now, name, fleet_store.places[name])
+        elif kind < 0.97 and fleet_store.places:
+            name = rng.choice(sorted(fleet_store.places))
             self.machines.pop(name, None)
             self.marked.discard(name)
             for names in self.cloud.values():
                 if name in names:
                     names.remove(name)
-            roster.gone(now, name)
+            fleet_store.gone(now, name)
         elif kind > 0.995:
             self.lead()
 
@@ -528,29 +543,33 @@
             day.lead()
         for _ in range(day.rng.randint(0, 4)):
             day.change()
-        day.service.step(day.roster)
-        if day.roster.stuck():
+        day.service.step(day.fleet_store)
+        if day.fleet_store.stuck():
             day.lead()
         day.late()
         day.check()
     day.service.fate = lambda body: "served"
-    day.service.run(day.roster, 20.0)
+    day.service.run(day.fleet_store, 20.0)
     day.check()
-    assert day.roster.paged and "c/fleet" not in day.service.state.data
-    assert day.service.truth() == (day.roster.booked, day.roster.places, day.roster.up)
+    assert day.fleet_store.paged and "c/fleet" not in day.service.state.data
+    assert day.service.truth() == (
+        day.fleet_store.booked,
+        day.fleet_store.places,
+        day.fleet_store.up,
+    )
     assert day.service.state.too_large <= 2
 
 
-# -- the ledger ----------------------------------------------------------------------------
+# -- the transaction queue -----------------------------------------------------------------
 
 
 def test_refused_batches_go_one_by_one_within_the_budgets_and_teach_the_limit():
     service = Service(txn_ops=5)
-    ledger = Ledger(service.out, 60.0, 16, 1.0)
+    transactions = TransactionQueue(service.out, 60.0, 16, 1.0)
     ends = []
     for n in range(120):
         value = "x" * 40000 if n == 33 else n
-        ledger.submit(
+        transactions.submit(
             service.now,
             Op(
                 {},
@@ -561,21 +580,23 @@
         )
     for _ in range(400):
         calls, service.out.calls = service.out.calls, []
-        assert ledger.in_flight == len(calls) <= Ledger.IN_FLIGHT
+        assert transactions.in_flight == len(calls) <= TransactionQueue.IN_FLIGHT
         for call in calls:
             call.then(service.now, Outcome(*service.serve(call)))
         service.now += 0.05
-        ledger.pump(service.now)
+        transactions.pump(service.now)
     assert sorted(ends) == [(n, INVALID if n == 33 else APPLIED) for n in range(120)]
-    assert ledger.txn_ops <= 5 and service.state.too_large <= 12 and service.state.too_fast == 0
+    assert (
+        transactions.txn_ops <= 5 and service.state.too_large <= 12 and service.state.too_fast == 0
+    )
 
 
 def test_refusals_for_the_rate_slow_the_ledger_down_and_drop_nothing():
     service = Service(write_rps=5.0)
-    ledger = Ledger(service.out, 60.0, 16, 1.0)
+    transactions = TransactionQueue(service.out, 60.0, 16, 1.0)
     ends, sent = [], 0
     for n in range(150):
-        ledger.submit(
+        transactions.submit(
             service.now,
             Op({}, [wire.put(f"k/{n}", n)], lambda now, how, rev: ends.append(how), 999.0, PLAIN),
         )
@@ -585,16 +606,16 @@
         for call in calls:
             call.then(service.now, Outcome(*service.serve(call)))
         service.now += 0.05
-        ledger.pump(service.now)
+        transactions.pump(service.now)
         if len(ends) == 150:
             break
     assert ends == [APPLIED] * 150
     # Batches of up to 16 never fit into 5 a second: the pace finds what does, without a storm.
     assert service.state.too_fast < 0.2 * sent + 60
-    slow = ledger.budget.rate
+    slow = transactions.budget.rate
     service.state.drop(write_rps=60.0)
-    ledger.budget.take(service.now + 120.0, 0.0)
-    assert slow < 20.0 and ledger.budget.rate == ledger.budget.full_rate
+    transactions.budget.take(service.now + 120.0, 0.0)
+    assert slow < 20.0 and transactions.budget.rate == transactions.budget.full_rate
 
 
 # -- ends ------------------------------------------------------------------------------------
@@ -613,7 +634,7 @@
 def see_ends(service, table, versions):
     for key, (value, version, _) in service.state.data.items():
         if key.startswith("c/ends/"):
-            table.saw_ends(key, json.dumps(value).encode())
+            table.saw_completions(key, json.dumps(value).encode())
             versions[key] = version
 
 
@@ -622,9 +643,9 @@
     see_ends(service, table, versions)
     service.out.calls.clear()
     token = service.state.data["c/token"][1]
-    return Progress(
+    return CompletionStore(
         table,
-        Ledger(service.out, 60.0, 5, 1.0),
+        TransactionQueue(service.out, 60.0, 5, 1.0),
         lambda: token,
         versions,
         0,
@@ -645,7 +666,7 @@
             after = ends_stored(service, progress.jobs.jobs)
             assert all(before[i] <= after[i] for i in before)
         service.now += 0.05
-        progress.ledger.pump(service.now)
+        progress.transactions.pump(service.now)
         progress.tick(service.now)
 
 
@@ -708,7 +729,7 @@
     assert ends_stored(service, table.jobs)[big.spec.id] == {*expected, 50_001}
     assert service.state.writes - writes <= len(pages) and not big.finished
     # An older version takes no harm from the parts: it knows no such jobs, and keeps the pages.
-    old = production.load()
+    old = production.load(production.VERSION_0_2_0)
     theirs = old.core.JobTable()
     for key, value in pages.items():
         theirs.saw_ends(key, json.dumps(value).encode())
@@ -719,143 +740,145 @@
 
 
 def test_a_submission_that_no_value_can_hold_is_refused_for_good_and_others_are_not():
-    world = World(coming=COMING)
-    world.run_until(world.leader)
-    world.state.drop(**COMING)
-    padded = world.submit(job(1, racks=["box"] * 500 + [f"no-such-type-{n}" for n in range(90)]))
-    endless = world.submit(job(2, master="i" * 3000))
-    large = world.submit(job(3, master="i" * 1500))
-    world.run(1.0)
+    simulation = Simulation(coming=COMING)
+    simulation.run_until(simulation.leader)
+    simulation.state.drop(**COMING)
+    padded = simulation.submit(
+        job(1, racks=["box"] * 500 + [f"no-such-type-{n}" for n in range(90)])
+    )
+    endless = simulation.submit(job(2, master="i" * 3000))
+    large = simulation.submit(job(3, master="i" * 1500))
+    simulation.run(1.0)
     assert [padded.status, endless.status, large.status] == [201, 422, 201]
-    assert world.state.data["c/live/req-000001"][0]["spec"]["racks"] == ["box"]
-    assert world.state.too_large == 0
+    assert simulation.state.data["c/live/req-000001"][0]["spec"]["racks"] == ["box"]
+    assert simulation.state.too_large == 0
     # Small enough by our count and too large by the service's own.
-    size = len(wire.encode(world.state.data["c/live/req-000003"][0]))
-    narrow = world.submit(job(4, master="i" * (1500 + 2048 - 10 - size)))
-    world.run(1.0)
-    assert narrow.status == 422 and world.state.too_large == 1
-    again = world.submit(job(1, master="i" * 3000))
-    world.run(1.0)
+    size = len(wire.encode(simulation.state.data["c/live/req-000003"][0]))
+    narrow = simulation.submit(job(4, master="i" * (1500 + 2048 - 10 - size)))
+    simulation.run(1.0)
+    assert narrow.status == 422 and simulation.state.too_large == 1
+    again = simulation.submit(job(1, master="i" * 3000))
+    simulation.run(1.0)
     assert again.status == 200
 
 
 def test_an_offer_that_no_value_can_hold_is_not_stored():
-    world = World(coming=COMING)
-    one = dict(world.cloud.offer[0])
-    world.cloud.offer = [{**one, "name": f"box-{n}"} for n in range(20)] + [one]
-    world.run_until(world.leader)
-    world.submit(job(1))
+    simulation = Simulation(coming=COMING)
+    one = dict(simulation.cloud.offer[0])
+    simulation.cloud.offer = [{**one, "name": f"box-{n}"} for n in range(20)] + [one]
+    simulation.run_until(simulation.leader)
+    simulation.submit(job(1))
     calls = []
-    handle = world.cloud.handle
-    world.cloud.handle = lambda method, path, *rest: (
+    handle = simulation.cloud.handle
+    simulation.cloud.handle = lambda method, path, *rest: (
         calls.append(path),
         handle(method, path, *rest),
     )
-    world.run(20.0)
-    assert "c/types" not in world.state.data and calls.count("/machine_types") <= 6
-    assert not world.broken
+    simulation.run(20.0)
+    assert "c/types" not in simulation.state.data and calls.count("/machine_types") <= 6
+    assert not simulation.broken
 
 
 # -- both versions at once ---------------------------------------------------------------------
 
 
 def rolled(order, seed, coming=COMING, parted=False):
-    """A world in which every member runs the version in production, and jobs run."""
-    old = production.load()
-    world = World(seed, coming=coming, parted=parted, versions=dict.fromkeys(order, old))
-    world.run_until(world.leader)
+    """A simulation in which every member runs the version in production, and jobs run."""
+    old = production.load(production.VERSION_0_2_0)
+    simulation = Simulation(seed, coming=coming, parted=parted, versions=dict.fromkeys(order, old))
+    simulation.run_until(simulation.leader)
     for n in range(1, 5):
-        world.submit(job(n, team="red" if n % 2 else "blue", tasks=3, run_s=30.0))
-    world.run(12.0)
-    return world
+        simulation.submit(job(n, team="red" if n % 2 else "blue", tasks=3, run_s=30.0))
+    simulation.run(12.0)
+    return simulation
 
 
-def turn(world, name, back_after=1.5):
+def turn(simulation, name, back_after=1.5):
     """A member's process is killed and comes back new."""
-    world.versions.pop(name)
-    world.crash(name, back_after)
+    simulation.versions.pop(name)
+    simulation.crash(name, back_after)
 
 
-def settle(world, numbers, seconds=150.0):
+def settle(simulation, numbers, seconds=150.0):
     """All jobs end, none is forgotten, no rule is broken, and the pages alone are the truth."""
     ids = [f"req-{n:06d}" for n in numbers]
-    world.run_until(lambda: all(f"d/job/{i}" in world.state.data for i in ids), seconds)
-    world.run_until(lambda: "c/fleet" not in world.state.data, 30.0)
-    world.run(3.0)
+    simulation.run_until(lambda: all(f"d/job/{i}" in simulation.state.data for i in ids), seconds)
+    simulation.run_until(lambda: "c/fleet" not in simulation.state.data, 30.0)
+    simulation.run(3.0)
     for i in ids:
-        poll = world.poll(i)
-        world.run(1.0)
+        poll = simulation.poll(i)
+        simulation.run(1.0)
         assert poll.status == 200 and poll.body["status"] == "done"
-    assert any(k.startswith("c/fleet/") for k in world.state.data)
-    assert not world.broken
-    world.check_sums()
+    assert any(k.startswith("c/fleet/") for k in simulation.state.data)
+    assert not simulation.broken
+    simulation.check_sums()
 
 
 @pytest.mark.parametrize("order", list(itertools.permutations(["n0", "n1", "n2"])), ids="-".join)
 def test_a_roll_in_each_order_while_jobs_run_and_limits_that_drop_after_the_last_turn(order):
-    world = rolled(order, seed=sum(map(ord, order[0])) + 7 * int(order[1][1]))
+    simulation = rolled(order, seed=sum(map(ord, order[0])) + 7 * int(order[1][1]))
     for number, name in enumerate(order, 5):
-        world.submit(job(number, tasks=3, run_s=20.0))
-        turn(world, name)
-        world.run(5.0)
-        if len(world.versions):
+        simulation.submit(job(number, tasks=3, run_s=20.0))
+        turn(simulation, name)
+        simulation.run(5.0)
+        if len(simulation.versions):
             # Not proven by all: the one record counts, as the older version wrote it.
-            assert "c/fleet" in world.state.data
-            assert not any(k.startswith("c/fleet/") for k in world.state.data)
-    world.state.drop(**COMING)
-    settle(world, range(1, 8))
-    assert world.state.too_large <= 3
+            assert "c/fleet" in simulation.state.data
+            assert not any(k.startswith("c/fleet/") for k in simulation.state.data)
+    simulation.state.drop(**COMING)
+    settle(simulation, range(1, 8))
+    assert simulation.state.too_large <= 3
 
 
 def test_processes_that_die_before_and_after_their_turn_and_leaders_of_both_versions():
-    world = rolled(["n0", "n1", "n2"], seed=3, parted=True)
+    simulation = rolled(["n0", "n1", "n2"], seed=3, parted=True)
     led, rng = set(), random.Random(5)
     for number, name in enumerate(["n1", "n2", "n0"], 5):
         # Before its turn it comes back old; after it, new, whoever leads meanwhile.
-        world.crash(name, 1.0)
-        world.run(4.0)
-        turn(world, name, 3.0)
-        world.submit(job(number, team="blue", tasks=3, run_s=20.0))
-        world.run(4.0)
+        simulation.crash(name, 1.0)
+        simulation.run(4.0)
+        turn(simulation, name, 3.0)
+        simulation.submit(job(number, team="blue", tasks=3, run_s=20.0))
+        simulation.run(4.0)
         for _ in range(2):
-            leader = world.leader()
+            leader = simulation.leader()
             if leader:
-                led.add((leader, leader in world.versions))
-                world.crash(leader, rng.uniform(0.5, 3.0))
-            world.run(5.0)
-        world.cut("n0", "n1")
-        world.run(2.0)
-        world.heal()
-    world.state.drop(**COMING)
+                led.add((leader, leader in simulation.versions))
+                simulation.crash(leader, rng.uniform(0.5, 3.0))
+            simulation.run(5.0)
+        simulation.cut("n0", "n1")
+        simulation.run(2.0)
+        simulation.heal()
+    simulation.state.drop(**COMING)
     assert {old for _, old in led} == {True, False}
-    settle(world, range(1, 8))
+    settle(simulation, range(1, 8))
 
 
 def test_proof_is_a_key_of_each_member_and_anything_less_means_old():
-    world = rolled(["n0", "n1", "n2"], seed=4)
+    simulation = rolled(["n0", "n1", "n2"], seed=4)
     for name in ("n0", "n1", "n2"):
-        world.versions.pop(name)
+        simulation.versions.pop(name)
     # Two are new, the third's key is doubtful: whoever leads keeps to the old form.
-    world.state.data["v/n2"] = ({"format": 0, "version": "?"}, 1, None)
-    world.crash("n0", 1.0)
-    world.crash("n1", 1.0)
-    world.run(8.0)
-    assert {"v/n0", "v/n1"} <= set(world.state.data)
-    leader = world.leader()
+    simulation.state.data["v/n2"] = ({"format": 0, "version": "?"}, 1, None)
+    simulation.crash("n0", 1.0)
+    simulation.crash("n1", 1.0)
+    simulation.run(8.0)
+    assert {"v/n0", "v/n1"} <= set(simulation.state.data)
+    leader = simulation.leader()
     if leader != "n2":
-        node = world.nodes[leader]
+        node = simulation.nodes[leader]
         assert node.proven(leader) and not node.proven("n2")
-    assert "c/fleet" in world.state.data
-    world.crash("n2", 1.0)
-    settle(world, range(1, 5))
-    assert world.nodes[world.leader()].proven("n2")
+    assert "c/fleet" in simulation.state.data
+    simulation.crash("n2", 1.0)
+    settle(simulation, range(1, 5))
+    assert simulation.nodes[simulation.leader()].proven("n2")
 
 
 @pytest.mark.parametrize("step", range(4))
 @pytest.mark.parametrize("applied", [True, False], ids=["applied", "refused"])
 def test_limits_drop_in_mid_move_and_the_leader_dies_there(step, applied):
-    world = rolled(["n0", "n1", "n2"], seed=10 + step)
-    seen, handle = [], world.state.transaction
+    simulation = rolled(["n0", "n1", "n2"], seed=10 + step)
+    seen, handle = [], simulation.state.transaction
 
     def transaction(txn, reply):
         pages = [
@@ -864,21 +887,21 @@
             if w.get("put", w.get("remove", "")).startswith("c/fleet/")
             or w.get("remove") == "c/fleet"
         ]
-        if pages and "c/fleet" in world.state.data:
+        if pages and "c/fleet" in simulation.state.data:
             seen.append(pages)
             if len(seen) == 1:
-                world.state.drop(**COMING)
+                simulation.state.drop(**COMING)
             if len(seen) == step + 1:
-                leader = world.leader()
+                leader = simulation.leader()
                 if applied:
                     handle(txn, lambda status, body: None)
-                world.after(0.0, lambda: world.crash(leader, 2.0))
+                simulation.after(0.0, lambda: simulation.crash(leader, 2.0))
                 return
         handle(txn, reply)
 
-    world.state.transaction = transaction
+    simulation.state.transaction = transaction
     for name in ("n2", "n0", "n1"):
-        turn(world, name)
-        world.run(4.0)
-    settle(world, range(1, 5))
+        turn(simulation, name)
+        simulation.run(4.0)
+    settle(simulation, range(1, 5))
     assert seen
--- a/tests/test_users.py
+++ b/tests/test_users.py
@@ -4,20 +4,20 @@
 
 import pytest
 
-from tests.world import World, job
+from tests.simulation import Simulation, job
 
 
 @pytest.fixture(scope="module")
-def world():
-    made = World(seed=2)
+def simulation():
+    made = Simulation(seed=2)
     made.run_until(made.leader)
     made.run(2)
     return made
 
 
-def answer(world, raw):
-    user = world.ask(lambda desk, u: desk.submit(world.now, u, raw))
-    world.run(2)
+def answer(simulation, raw):
+    user = simulation.ask(lambda user_api, u: user_api.submit(simulation.now, u, raw))
+    simulation.run(2)
     return user
 
 
@@ -51,33 +51,37 @@
 
 
 @pytest.mark.parametrize("case", range(len(CASES)))
-def test_refusals(world, case):
+def test_refusals(simulation, case):
     status, raw = CASES[case]
     body = raw if isinstance(raw, bytes) else json.dumps(raw).encode()
-    user = answer(world, body)
+    user = answer(simulation, body)
     assert user.status == status and "error" in user.body
 
 
-def test_optional_fields_and_decimals(world):
+def test_optional_fields_and_decimals(simulation):
     body = job(50, cpus=16.0000001)
     for name in ("racks", "hall", "edition_s"):
         del body[name]
     body["unknown"] = {"x": 1}
-    world.specs[body["id"]] = body
-    assert answer(world, json.dumps(body).encode()).status == 201
+    simulation.specs[body["id"]] = body
+    assert answer(simulation, json.dumps(body).encode()).status == 201
 
 
-def test_unknown_jobs(world):
-    for ask in (world.poll, world.cancel):
+def test_unknown_jobs(simulation):
+    for ask in (simulation.poll, simulation.cancel):
         for name in ("req-999999", "whatever"):
             user = ask(name)
-            world.run(2)
+            simulation.run(2)
             assert user.status == 404
 
 
-def test_no_state_no_decision(world):
-    world.state.down = True
-    users = [world.submit(job(60)), world.poll("req-000050"), world.cancel("req-000050")]
-    world.run(3)
-    world.state.down = False
+def test_no_state_no_decision(simulation):
+    simulation.state.down = True
+    users = [
+        simulation.submit(job(60)),
+        simulation.poll("req-000050"),
+        simulation.cancel("req-000050"),
+    ]
+    simulation.run(3)
+    simulation.state.down = False
     assert [(u.status, u.retry_after) for u in users] == [(503, 1)] * 3
