--- /dev/null
+++ b/src/copperpass/core/manager/demand.py
@@ -0,0 +1,89 @@
+"""How much work waits, of which kind, and the peaks that room is kept for."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from copperpass.core import dispatch, rental
+from copperpass.core.manager.state import ManagerContext, ManagerState
+
+# A pool's own peak is kept for longer: the fewer its jobs, the more they vary.
+POOL_WINDOW = 2.4
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """CPUs of all work that isn't done.
+
+    Urgent is what can't wait for a boot; `ordinary` is its part that may use ordinary machines
+    only. Both by pool.
+    """
+
+    urgent: dict[int, float]
+    ordinary: dict[int, float]
+    patient: float
+
+    @property
+    def total_urgent(self) -> float:
+        """The urgent work of all pools."""
+        return sum(self.urgent.values())
+
+
+class DemandTracker:
+    """Measures demand and keeps its peaks over sliding windows."""
+
+    def __init__(self, context: ManagerContext, state: ManagerState) -> None:
+        tuning = context.tuning
+        self.state, self.cluster, self.jobs = state, context.cluster, context.jobs
+        self.aims = dispatch.Aims(context.cluster.objectives, tuning.patience_s)
+        self.scarce = dispatch.Scarce(context.types, tuning.keep_scarce_s)
+        warm_s = tuning.warm_window_boots * state.boot_s
+        self.peak = rental.Peak(warm_s)
+        self.cheap_peak = rental.Peak(tuning.cheap_window_boots * state.boot_s)
+        window = POOL_WINDOW * tuning.warm_window_boots * state.boot_s
+        self.peaks = {number: rental.Peak(window) for number in state.pools}
+        # Urgent work that may use ordinary machines only.
+        self.ordinary_peaks = {number: rental.Peak(warm_s) for number in state.pools}
+
+    def measure(self, now: float) -> Demand:
+        """Sum up the work that is left; judges on the way which jobs are guaranteed."""
+        state = self.state
+        urgent: dict[int, float] = dict.fromkeys(state.pools, 0.0)
+        ordinary: dict[int, float] = dict.fromkeys(state.pools, 0.0)
+        patient = 0.0
+        jobs = list(self.jobs.jobs.values())
+        dispatch.judge_guarantees(jobs, {team.name: team.cpus for team in self.cluster.teams})
+        self.scarce.note(now, jobs)
+        for job in jobs:
+            cannot_wait = rental.cannot_wait(job, self.aims, state.boot_s)
+            if cannot_wait and job.spec.team in state.pool_of:
+                left = job.spec.tasks - job.done_count - len(job.finished)
+                number = state.pool_of[job.spec.team]
+                urgent[number] += left * job.spec.cpus
+                if not job.spec.spot:
+                    ordinary[number] += left * job.spec.cpus
+            else:
+                patient += (job.spec.tasks - job.done_count) * job.spec.cpus
+        return Demand(urgent, ordinary, patient)
+
+    def sample(self, now: float, demand: Demand) -> None:
+        """Take a measure into all peaks."""
+        limit = sum(team.cpus_max for team in self.cluster.teams)
+        total = demand.total_urgent
+        self.peak.add(now, min(total, limit))
+        self.cheap_peak.add(now, min(total, limit))
+        for number, cpus in demand.urgent.items():
+            self.peaks[number].add(now, cpus)
+            self.ordinary_peaks[number].add(now, demand.ordinary[number])
+
+    def sample_pool(self, now: float, number: int, demand: Demand) -> None:
+        """Take a measure into one pool's peak, between plans."""
+        self.peaks[number].add(now, demand.urgent[number])
+
+    def warm(self) -> rental.Warm:
+        """The room to keep up for urgent work."""
+        return rental.Warm(self.peak.value(), self.cheap_peak.value())
+
+    def scarce_types(self) -> set[str]:
+        """The types that are kept for work that fits no other."""
+        return {name for names in self.scarce.seen for name in names}
--- /dev/null
+++ b/src/copperpass/core/manager/grants.py
@@ -0,0 +1,241 @@
+"""Grants of pools: who owns which, for how long, and how a pool passes on."""
+
+from __future__ import annotations
+
+from copperpass import peer, wire
+from copperpass.core.authority import DRIFT, TOKEN
+from copperpass.core.directory import EMPTY, OWN_POOL, Entry, Feed, Inbox
+from copperpass.core.manager.records import MachineRecords
+from copperpass.core.manager.state import (
+    UNKNOWN_REVISION,
+    Grantee,
+    ManagerContext,
+    ManagerState,
+    Pool,
+)
+from copperpass.core.ports import Call, Outcome
+
+# A member counts as live for this part of a grant's length after its last request.
+LIVE_PER_GRANT = 0.75
+# For this part of a grant's length a new term waits for members whose heartbeats come in.
+EARLY_PER_GRANT = 0.5
+
+
+class Grants:
+    """Gives each pool to one live member at a time.
+
+    A pool without an owner is given again only when every grant to the last one has certainly
+    ended (`Pool.free_at`), and no grant outlasts the authority behind it.
+    """
+
+    def __init__(
+        self, context: ManagerContext, state: ManagerState, records: MachineRecords
+    ) -> None:
+        self.state, self.records = state, records
+        self.out, self.authority = context.out, context.authority
+        # Who owned which pool in the term before.
+        self.owners, self.linked = context.owners, context.linked
+        self.serial = 0
+        # When a pool last changed hands of the leader's own will.
+        self.passed_at = state.won_at
+
+    def pulled(self, now: float, sender: str, pull: peer.GrantRequest) -> peer.Grant | None:
+        """A member asks to have its grants extended."""
+        state = self.state
+        if pull.epoch != state.epoch or not self.authority.entitled(now):
+            return None
+        grantee = state.grantees.setdefault(sender, Grantee())
+        feed = grantee.feed
+        if grantee.incarnation != pull.incarnation or feed is None:
+            feed = self._restarted(now, sender, grantee, pull.incarnation)
+        grantee.heard = now
+        feed.acknowledged(pull.applied)
+        self.share_out(now)
+        length = self._extend(now, grantee)
+        return peer.Grant(
+            state.epoch,
+            pull.incarnation,
+            pull.number,
+            int(length * 1000),
+            state.token_version(),
+            state.dear_excess,
+            grantee.inbox.applied,
+            self.shares(),
+        )
+
+    def _restarted(
+        self, now: float, sender: str, grantee: Grantee, incarnation: int
+    ) -> Feed[Entry]:
+        """A member has just started, or has just come under this term: it holds nothing."""
+        if grantee.incarnation not in (0, incarnation):
+            # Its old grants are waited out all the same: a pull held back on an old connection
+            # looks just like a restart.
+            for pool in self.state.pools.values():
+                if pool.owner == sender:
+                    self.disown(now, pool, grantee.granted_until)
+        grantee.incarnation, grantee.since = incarnation, now
+        grantee.inbox = Inbox()
+        feed = grantee.feed = Feed(self.state.table)
+        return feed
+
+    def _extend(self, now: float, grantee: Grantee) -> float:
+        """Extend a member's grants; returns their length in seconds from now."""
+        # A grant never outlasts the authority behind it.
+        remaining = self.authority.remaining(now) * (1 - 2 * DRIFT)
+        length = max(0.0, min(self.state.grant_s, remaining))
+        # Recorded whether or not it owns a pool: a later grant may add one to the same time.
+        grantee.granted_until = max(grantee.granted_until, now + length * (1 + 4 * DRIFT))
+        if len(self.state.pools) > 1:
+            granted = max(self.authority.granted_until, grantee.granted_until)
+            self.authority.granted_until = granted
+        return length
+
+    def shares(self) -> tuple[peer.Share, ...]:
+        """Who owns what."""
+        return tuple(
+            peer.Share(pool.number, pool.owner, pool.serial, pool.revision, pool.at)
+            for pool in self.state.pools.values()
+            if pool.owner
+        )
+
+    def disown(self, now: float, pool: Pool, free_at: float) -> None:
+        """A pool has lost its owner: every machine of it needs a higher token."""
+        self.out.log("info", "pool without owner", pool=pool.number, owner=pool.owner)
+        pool.owner, pool.revision, pool.free_at = "", UNKNOWN_REVISION, free_at
+        pool.wants, pool.reading, pool.ties = [], False, {}
+        for machine in list(self.state.machines.values()):
+            if machine.entry.pool == pool.number:
+                may_hold = machine.entry.may_hold
+                if machine.entry.recorded and may_hold == EMPTY:
+                    may_hold = OWN_POOL
+                self.records.rebase(machine, pool.number, may_hold)
+
+    def wait_out(self, before: dict[str, Grantee]) -> None:
+        """Give no pool while a grant of one's own earlier term may run."""
+        until = max(
+            (
+                grantee.granted_until
+                for member, grantee in before.items()
+                if member != self.state.member
+            ),
+            default=float("-inf"),
+        )
+        for pool in self.state.pools.values():
+            pool.free_at = max(pool.free_at, until)
+
+    def _live(self, now: float) -> list[str]:
+        """The leader and the members that have asked of late."""
+        state = self.state
+        return [
+            member
+            for member, grantee in state.grantees.items()
+            if member == state.member or now - grantee.heard < LIVE_PER_GRANT * state.grant_s
+        ]
+
+    def share_out(self, now: float) -> None:
+        """Give pools without an owner to live members, those with the fewest first."""
+        state = self.state
+        live = self._live(now)
+        early = now - state.won_at < EARLY_PER_GRANT * state.grant_s
+        coming = any(
+            member not in live and self.linked(now, member) for member in self.authority.others
+        )
+        if len(state.pools) > 1 and coming and early:
+            # Members whose beats come in will pull in a moment.
+            return
+        for pool in state.pools.values():
+            if pool.owner or now < pool.free_at or not state.ready:
+                continue
+            self._give(now, pool, self._choose_owner(pool, live))
+
+    def _choose_owner(self, pool: Pool, live: list[str]) -> str:
+        """The live member with the fewest pools: others before the leader, the last owner first."""
+        state = self.state
+        if len(state.pools) == 1:
+            return state.member
+        loads = {
+            member: sum(other.owner == member for other in state.pools.values()) for member in live
+        }
+        before = self.owners.get(pool.number)
+        return min(
+            live,
+            key=lambda member: (loads[member], member == state.member, member != before, member),
+        )
+
+    def _give(self, now: float, pool: Pool, owner: str) -> None:
+        """Give a pool to a member."""
+        state = self.state
+        self.serial += 1
+        # Kept for it until it has had time to ask.
+        grantee = state.grantees[owner]
+        grantee.granted_until = max(grantee.granted_until, now + state.grant_s)
+        pool.owner, pool.serial, pool.at = owner, self.serial, state.table.seq
+        if pool.free_at <= state.won_at:
+            pool.revision = state.token_version()
+        else:
+            self._read_revision(now, pool)
+        self.out.log("info", "pool given", pool=pool.number, owner=owner, serial=pool.serial)
+
+    def expire(self, now: float) -> None:
+        """Disown the pools whose grants have ended; read the revisions that are missing."""
+        for pool in self.state.pools.values():
+            grantee = self.state.grantees.get(pool.owner)
+            if (
+                pool.owner
+                and pool.owner != self.state.member
+                and (grantee is None or now > grantee.granted_until)
+            ):
+                self.disown(now, pool, now)
+            if pool.owner and pool.revision == UNKNOWN_REVISION:
+                self._read_revision(now, pool)
+
+    def relieve(self, now: float) -> None:
+        """Give a pool of the leader's own to a member that has none.
+
+        The first member to lead may have all pools before the others have asked, and one that was
+        down comes back with none: without this the leader's processor would serve the whole fleet
+        for good. The leader's own pools alone can pass at once, without waiting for a grant's end;
+        each passing has its price, so it waits until all is quiet, or is done before any machine
+        is up.
+        """
+        state = self.state
+        mine = [pool for pool in state.pools.values() if pool.owner == state.member]
+        if not mine or len(state.pools) == 1 or not state.ready:
+            return
+        busy = {pool.owner for pool in state.pools.values()}
+        live = [member for member in self._live(now) if member not in busy]
+        machines = state.machines.values()
+        up = any(m.status.up or m.entry.may_hold != EMPTY for m in machines)
+        if up:
+            settled = all(m.status.settled or not m.status.up for m in machines)
+            quiet = now - max(self.passed_at, state.won_at) > state.lease_s
+            if not settled or not quiet:
+                return
+            live = [member for member in live if now - state.grantees[member].since > state.lease_s]
+        if live:
+            self.passed_at = now
+            self.disown(now, mine[0], now)
+
+    def _read_revision(self, now: float, pool: Pool) -> None:
+        """Learn a revision that is certainly after all that the last owner can have seen."""
+        if pool.reading:
+            return
+        pool.reading, serial = True, pool.serial
+
+        def then(n: float, outcome: Outcome) -> None:
+            applied = wire.decode(outcome.body, wire.Applied) if outcome.status == 200 else None
+            if pool.serial == serial:
+                pool.reading = False
+                if applied is not None:
+                    pool.revision = applied.revision
+
+        self.out.calls.append(
+            Call(
+                "state",
+                "POST",
+                wire.PATH_TXN,
+                then,
+                wire.transaction({TOKEN: self.state.token_version()}, []),
+                self.authority.ttl / 3,
+            )
+        )
--- /dev/null
+++ b/src/copperpass/core/manager/lending.py
@@ -0,0 +1,60 @@
+"""Which machines a pool can do without, and which pool is covered least."""
+
+from __future__ import annotations
+
+from copperpass.core import rental
+from copperpass.core.manager.demand import DemandTracker
+from copperpass.core.manager.records import MachineRecords
+from copperpass.core.manager.state import ManagedMachine, ManagerState
+
+
+class Lending:
+    """Moves machines between pools, and returns them, without leaving a pool short.
+
+    Holds, from one plan to the next, the ordinary CPUs of each pool that aren't asked back.
+    """
+
+    def __init__(
+        self, state: ManagerState, records: MachineRecords, tracker: DemandTracker
+    ) -> None:
+        self.state, self.records, self.tracker = state, records, tracker
+        self.ordinary_cpus: dict[int, float] = {}
+
+    def recount(self, serving: list[ManagedMachine]) -> None:
+        """Sum up the ordinary room of each pool anew."""
+        pools = self.state.pools
+        self.ordinary_cpus = dict.fromkeys(pools, 0.0)
+        for machine in serving:
+            entry = machine.entry
+            if not entry.spot and not entry.back and entry.pool in pools:
+                self.ordinary_cpus[entry.pool] += machine.type.cpus
+
+    def may_leave(self, machine: ManagedMachine) -> bool:
+        """Whether a machine's pool keeps enough ordinary room for its urgent work without it."""
+        number = machine.entry.pool
+        if machine.entry.spot or number not in self.state.pools:
+            return True
+        need = self.tracker.ordinary_peaks[number].value()
+        return need <= 0 or self.ordinary_cpus.get(number, 0.0) - machine.type.cpus >= need
+
+    def let_go(self, now: float, machine: ManagedMachine, pool: int | None) -> None:
+        """Ask a machine back, for another pool or to be returned, and count it out."""
+        number = machine.entry.pool
+        if not machine.entry.spot and number in self.ordinary_cpus:
+            self.ordinary_cpus[number] -= machine.type.cpus
+        self.records.ask_back(now, machine, pool)
+
+    def cover(self, serving: list[ManagedMachine]) -> rental.Cover:
+        """How far each pool's machines, with those on their way, cover its urgent peak."""
+        state = self.state
+        have = dict.fromkeys(state.pools, 0.0)
+        for machine in serving:
+            number = machine.entry.pool
+            if machine.entry.back and machine.back_for is not None:
+                number = machine.back_for
+            if number in have:
+                have[number] += machine.type.cpus
+        for place, count, number in state.renting.values():
+            have[number] += state.types[place.type].cpus * count
+        need = {number: peak.value() for number, peak in self.tracker.peaks.items()}
+        return rental.Cover(have, need)
--- /dev/null
+++ b/src/copperpass/core/manager/listing.py
@@ -0,0 +1,73 @@
+"""The cloud's list of machines: what the records lack, addresses, machines that have failed."""
+
+from __future__ import annotations
+
+from copperpass import wire
+from copperpass.core.directory import EMPTY, UNPOOLED
+from copperpass.core.manager.records import MachineRecords
+from copperpass.core.manager.rentals import CALL_TIMEOUT_S, Rentals
+from copperpass.core.manager.state import ManagerContext, ManagerState
+from copperpass.core.ports import Call, Outcome
+from copperpass.core.rental import Place
+
+
+class CloudListing:
+    """Reads the list page by page, one reading at a time, within the budget of calls."""
+
+    def __init__(
+        self,
+        context: ManagerContext,
+        state: ManagerState,
+        records: MachineRecords,
+        rentals: Rentals,
+    ) -> None:
+        self.state, self.records, self.rentals = state, records, rentals
+        self.out, self.cloud = context.out, context.cluster.cloud
+        self.next_list = state.won_at
+        self.listing = False
+
+    def tick(self, now: float) -> None:
+        """Start a reading when one is due."""
+        if now < self.next_list or self.listing or not self.rentals.calls.take(now, 1.0):
+            return
+        self.listing = True
+        self.next_list = now + max(self.cloud.list_lag_s / 2, 4 / self.cloud.rps)
+        self._read_page(now, "")
+
+    def _read_page(self, now: float, after: str) -> None:
+        """Ask for the machines whose names come after one."""
+
+        def then(n: float, outcome: Outcome) -> None:
+            page = wire.decode(outcome.body, wire.MachineList) if outcome.status == 200 else None
+            if page is None or not self.state.ready:
+                self.listing = False
+                return
+            for item in page.machines:
+                self._listed(n, item)
+            if page.more and page.machines:
+                self._read_page(n, page.machines[-1].id)
+                return
+            self.listing = False
+
+        self.out.calls.append(
+            Call("cloud", "GET", wire.path_machines(after), then, b"", CALL_TIMEOUT_S)
+        )
+
+    def _listed(self, now: float, item: wire.ListedMachine) -> None:
+        """Take in what the list says of a machine."""
+        state, records = self.state, self.records
+        if item.id in state.gone or item.type not in state.types:
+            return
+        machine = state.machines.get(item.id)
+        if machine is None:
+            place = Place(item.type, item.zone, item.spot)
+            machine = records.add(now, item.id, place, UNPOOLED, EMPTY)
+            machine.rented_at = now - item.age_s
+            state.fleet_store.rented(now, item.id, place)
+        machine.listed = True
+        if item.address and machine.entry.contact is None:
+            records.learn_contact(machine, item.address, 0)
+        if item.state == "failed" and not machine.entry.failed:
+            # It has stopped on its own: nothing runs there any more.
+            records.update(machine, failed=True, may_hold=EMPTY)
+            self.rentals.release(now, [machine])
--- /dev/null
+++ b/src/copperpass/core/manager/machines.py
@@ -0,0 +1,138 @@
+"""What becomes of machines: what their owners tell, reports that no owner takes, timeouts."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import replace
+
+from copperpass import wire
+from copperpass.core.directory import EMPTY, OWN_POOL, UNPOOLED, Status
+from copperpass.core.jobs import JobTable
+from copperpass.core.manager.records import MachineRecords
+from copperpass.core.manager.rentals import RELEASE_AGAIN_S, Rentals
+from copperpass.core.manager.state import ManagedMachine, ManagerContext, ManagerState
+from copperpass.core.rental import Place
+
+# A machine that hasn't come up after so many boot times is returned.
+BOOTS_TO_COME_UP = 5
+
+
+class Machines:
+    """Follows each machine from its first report until it is given back or returned."""
+
+    def __init__(
+        self,
+        context: ManagerContext,
+        state: ManagerState,
+        records: MachineRecords,
+        rentals: Rentals,
+    ) -> None:
+        self.state, self.records, self.rentals = state, records, rentals
+        self.jobs: JobTable = context.jobs
+        # How long a deleted machine is remembered.
+        self.gone_s = 20 * context.cluster.cloud.list_lag_s + 4 * state.lease_s
+
+    # -- what owners tell -----------------------------------------------------------------
+
+    def told(self, now: float, sender: str, statuses: Iterable[Status]) -> None:
+        """An owner's table has news."""
+        for status in statuses:
+            machine = self.state.machines.get(status.name)
+            if machine is None or status.base != machine.entry.base:
+                continue
+            if self.state.owner_of(machine) != sender:
+                continue
+            self._take(now, machine, status)
+
+    def _take(self, now: float, machine: ManagedMachine, status: Status) -> None:
+        """Take in a machine's new status."""
+        records = self.records
+        status = self._note_changes(now, machine, status)
+        before, machine.status = machine.status, status
+        machine.used_cpus = status.used_cpus
+        if status.settled and not before.settled and machine.entry.may_hold != EMPTY:
+            records.update(machine, may_hold=EMPTY)
+        if status.contact is not None and not status.given:
+            records.learn_contact(machine, status.contact.address, status.contact.session)
+        if status.given:
+            self._given(now, machine, status)
+            return
+        refused = not status.idle or now > machine.back_until
+        if machine.entry.back and not machine.entry.vacate and refused:
+            machine.back_for = None
+            records.update(machine, back=False)
+        if status.release and not machine.releasing:
+            self.rentals.release(now, [machine])
+
+    def _note_changes(self, now: float, machine: ManagedMachine, status: Status) -> Status:
+        """Note since when a machine is up and idle; returns the status to keep."""
+        if machine.status.up and not status.up:
+            # A new owner has not heard it yet; that doesn't make it one that never came up, which
+            # would be deleted with all that runs there.
+            status = replace(status, up=True)
+        if status.up and not machine.status.up:
+            machine.up_at = machine.idle_since = now
+            self.state.fleet_store.came_up(now, machine.entry.name, machine.place)
+        if status.idle and not machine.status.idle:
+            machine.idle_since = now
+        return status
+
+    def _given(self, now: float, machine: ManagedMachine, status: Status) -> None:
+        """An owner has given a machine back: nobody commands it now."""
+        if status.pool != UNPOOLED:
+            # It holds tasks of another pool.
+            self.records.rebase(machine, status.pool, machine.entry.may_hold or OWN_POOL)
+        elif machine.back_for is not None:
+            self.records.rebase(machine, machine.back_for, EMPTY, status)
+        else:
+            self.records.rebase(machine, UNPOOLED, EMPTY, status)
+            self.rentals.release(now, [machine])
+
+    # -- machines that nobody owns ----------------------------------------------------------
+
+    def unowned(self, now: float, report: wire.Report) -> None:
+        """A machine reports that is in nobody's pool: find out whose it is."""
+        state = self.state
+        machine = state.machines.get(report.machine)
+        if machine is None:
+            if report.machine in state.gone or report.type not in state.types:
+                return
+            # Unexpected: rented by a request that was carried out late, or a late copy about a
+            # machine that is gone. Whoever owns it will see whether answers reach it.
+            place = Place(report.type, report.zone, report.spot)
+            machine = self.records.add(now, report.machine, place, UNPOOLED, EMPTY)
+        if machine.entry.pool != UNPOOLED or machine.releasing:
+            return
+        self.records.rebase(machine, self._pool_of(report), machine.entry.may_hold)
+
+    def _pool_of(self, report: wire.Report) -> int:
+        """The pool with the most tasks in a report; the neediest if it has none."""
+        counts: dict[int, int] = {}
+        for task in report.tasks:
+            job = self.jobs.jobs.get(task.task.rpartition("/")[0])
+            if job is not None and job.spec.team in self.state.pool_of:
+                number = self.state.pool_of[job.spec.team]
+                counts[number] = counts.get(number, 0) + 1
+        if counts:
+            return max(counts, key=lambda number: counts[number])
+        return self.state.neediest_pool()
+
+    # -- time -------------------------------------------------------------------------------
+
+    def sweep(self, now: float) -> None:
+        """Return machines that never came up or that nobody has answered; forget the gone."""
+        state = self.state
+        for machine in list(state.machines.values()):
+            slow = BOOTS_TO_COME_UP * machine.type.boot_s
+            never = not machine.status.up and now - machine.rented_at > slow
+            again = machine.releasing and now - machine.release_sent > RELEASE_AGAIN_S
+            if again or (never and not machine.releasing):
+                self.rentals.release(now, [machine])
+            unclaimed = machine.entry.may_hold != EMPTY and machine.entry.pool == UNPOOLED
+            if unclaimed and now - state.won_at > state.lease_s + state.grant_s:
+                # Nobody has answered it in this term, nor under a grant of the term before, so its
+                # session is over; it is gone.
+                self.records.update(machine, may_hold=EMPTY)
+                self.rentals.release(now, [machine])
+        for name in [name for name, at in state.gone.items() if now - at > self.gone_s]:
+            del state.gone[name]
--- /dev/null
+++ b/src/copperpass/core/manager/placement_plan.py
@@ -0,0 +1,260 @@
+"""Finds room for what owners have none for: idle machines of others first, then new ones."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from copperpass import wire
+from copperpass.core import dispatch, rental
+from copperpass.core.directory import UNPOOLED
+from copperpass.core.jobs import Job
+from copperpass.core.manager.demand import DemandTracker
+from copperpass.core.manager.lending import Lending
+from copperpass.core.manager.records import MachineRecords
+from copperpass.core.manager.rental_plan import RentalPlan
+from copperpass.core.manager.state import (
+    MachineRequest,
+    ManagedMachine,
+    ManagerContext,
+    ManagerState,
+    Pool,
+)
+
+# Requests older than this many reports' time are no longer true.
+REQUEST_REPORTS = 2
+
+
+@dataclass(slots=True)
+class PoolOffer:
+    """What there is for one pool while its requests are served; each request takes its part."""
+
+    pool: Pool
+    serving: list[ManagedMachine]
+    # Machines on their way to the pool.
+    rooms: list[rental.Room]
+    # Idle machines of other pools, the cheapest first.
+    spare: list[ManagedMachine]
+    cover: rental.Cover
+    # About what the pool's own machines have left; None until a gang asks.
+    own_rooms: list[rental.Room] | None = None
+
+    def own(self) -> list[rental.Room]:
+        """The room that is left on the pool's own machines."""
+        if self.own_rooms is None:
+            self.own_rooms = [
+                rental.left_room(machine.type, machine.place, machine.used_cpus)
+                for machine in self.serving
+                if machine.entry.pool == self.pool.number
+            ]
+        return self.own_rooms
+
+
+@dataclass(slots=True)
+class Search:
+    """How far the search of room for one request has come."""
+
+    job: Job
+    # The job's shape, with the zone that it is tied to.
+    spec: wire.Spec
+    # Tasks that have found no room so far.
+    left: int
+    horizon: float
+    # The types that are kept for others.
+    closed: set[str]
+    # The zone that all of a gang's tasks must be in.
+    zone: str | None
+    # Whether it waits for cheap room.
+    patient: bool
+
+
+class PlacementPlanner:
+    """Serves the requests of one pool after the other."""
+
+    def __init__(
+        self,
+        context: ManagerContext,
+        state: ManagerState,
+        records: MachineRecords,
+        tracker: DemandTracker,
+        lending: Lending,
+    ) -> None:
+        self.state, self.records, self.lending = state, records, lending
+        self.cluster, self.tuning = context.cluster, context.tuning
+        self.scarce, self.fleet_store = tracker.scarce, state.fleet_store
+
+    def serve(
+        self, now: float, pool: Pool, serving: list[ManagedMachine], plan: RentalPlan | None
+    ) -> None:
+        """Serve a pool's requests, each with what those before it have left.
+
+        Without a plan nothing is rented, and nothing taken that others need: this only moves what
+        idles.
+        """
+        if now - pool.wants_at > REQUEST_REPORTS * self.state.report_s:
+            return
+        offer = self._offer(pool, serving)
+        for request in pool.wants:
+            search = self._begin(now, offer, request)
+            self._move_spare(now, offer, search)
+            if plan is not None:
+                self._rent(now, offer, search, plan)
+                self._take_kept(now, offer, search)
+                self._reclaim_guarantee(now, offer, search)
+
+    def _offer(self, pool: Pool, serving: list[ManagedMachine]) -> PoolOffer:
+        """Gather what is on its way to a pool and what others could lend."""
+        rooms = [
+            rental.new_room(self.state.types[place.type], place)
+            for place, count, number in self.state.renting.values()
+            if number == pool.number
+            for _ in range(count)
+        ]
+        rooms += [
+            rental.new_room(machine.type, machine.place)
+            for machine in serving
+            if machine.back_for == pool.number and machine.entry.back
+        ]
+        spare = [
+            machine
+            for machine in serving
+            if machine.spare
+            and machine.entry.pool != pool.number
+            and not machine.entry.back
+            and machine.entry.pool != UNPOOLED
+        ]
+        spare.sort(key=lambda m: dispatch.price_of(m.type, m.entry.spot) / m.type.cpus)
+        return PoolOffer(pool, serving, rooms, spare, self.lending.cover(serving))
+
+    def _begin(self, now: float, offer: PoolOffer, request: MachineRequest) -> Search:
+        """Start a request's search with the room that is on its way."""
+        job, count, horizon = request
+        tied_to = offer.pool.ties.get(job.spec.id)
+        spec = rental.tied(job.spec, [tied_to] if tied_to else [])
+        closed = self.scarce.closed_to(spec)
+        zone: str | None = None
+        rooms = offer.rooms
+        if spec.gang and spec.one_zone:
+            # All of it in one zone: what the pool has there, then what is moved or rented. The
+            # owner asks for the whole: only the leader can complete what one zone has.
+            rooms = rooms + offer.own()
+            zone = spec.zone or self._gang_zone(now, spec, count, rooms, offer.spare)
+            rooms = [room for room in rooms if room.zone == zone]
+        left = rental.fill(rooms, spec, count, horizon, closed)
+        # Work that can wait for longer than a boot asks only for the cheap kind at first.
+        # Not for the rest of a gang, for which other machines are kept idle meanwhile.
+        long = horizon > self.tuning.patient_boots * self.state.boot_s
+        patient = long and spec.spot and zone is None
+        return Search(job, spec, left, horizon, closed, zone, patient)
+
+    def _gang_zone(
+        self,
+        now: float,
+        spec: wire.Spec,
+        count: int,
+        rooms: list[rental.Room],
+        spare: list[ManagedMachine],
+    ) -> str | None:
+        """The zone where most of a gang's tasks find room already and the rest can be rented."""
+        state = self.state
+        slots: dict[str, int] = {}
+        offers = rooms + [rental.new_room(machine.type, machine.place) for machine in spare]
+        for room in offers:
+            slots[room.zone] = slots.get(room.zone, 0) + room.slots(spec, count, state.boot_s)
+        for zone in sorted(slots, key=lambda z: (-slots[z], z)):
+            if slots[zone] > 0 and (
+                slots[zone] >= count
+                or rental.choose_place(
+                    spec, 1, state.types, {}, state.refusals, now, False, set(), zone
+                )
+            ):
+                return zone
+        return None
+
+    def _move_spare(self, now: float, offer: PoolOffer, search: Search) -> None:
+        """Ask for idle machines of pools that stay covered as far as this one."""
+        number = offer.pool.number
+        for machine in list(offer.spare):
+            if search.left <= 0:
+                break
+            lender = machine.entry.pool
+            if search.zone is not None and machine.entry.zone != search.zone:
+                continue
+            if not self.lending.may_leave(machine) or machine.type.name in search.closed:
+                continue
+            if search.patient and self.state.dear_excess and not machine.entry.spot:
+                continue
+            if not offer.cover.may_lend(lender, number, machine.type.cpus):
+                continue
+            room = rental.new_room(machine.type, machine.place)
+            taken = room.take(search.spec, search.left, search.horizon)
+            if taken > 0:
+                search.left -= taken
+                offer.cover.move(lender, number, machine.type.cpus)
+                offer.rooms.append(room)
+                offer.spare.remove(machine)
+                self.lending.let_go(now, machine, number)
+
+    def _rent(self, now: float, offer: PoolOffer, search: Search, plan: RentalPlan) -> None:
+        """Plan new machines for what is left."""
+        state, spec = self.state, search.spec
+        while search.left > 0 and not plan.full and not self.fleet_store.full():
+            place = rental.choose_place(
+                spec,
+                search.left,
+                state.types,
+                plan.zones,
+                state.refusals,
+                now,
+                search.patient,
+                search.closed,
+                search.zone,
+            )
+            if place is None:
+                break
+            if spec.gang and spec.one_zone:
+                search.zone = place.zone
+            room = rental.new_room(state.types[place.type], place)
+            taken = room.take(spec, search.left, search.horizon)
+            if taken <= 0:
+                break
+            search.left -= taken
+            offer.rooms.append(room)
+            plan.add(place, offer.pool.number)
+
+    def _take_kept(self, now: float, offer: PoolOffer, search: Search) -> None:
+        """Nothing can be rented: what others keep for later serves who needs it now."""
+        if search.left <= 0 or search.horizon > self.state.boot_s:
+            return
+        for machine in offer.spare:
+            if search.left <= 0:
+                break
+            if machine.type.name in search.closed or search.zone not in (None, machine.entry.zone):
+                continue
+            if not self.lending.may_leave(machine):
+                continue
+            room = rental.new_room(machine.type, machine.place)
+            taken = room.take(search.spec, search.left, search.horizon)
+            if taken > 0:
+                search.left -= taken
+                self.lending.let_go(now, machine, offer.pool.number)
+        offer.spare = [machine for machine in offer.spare if not machine.entry.back]
+
+    def _reclaim_guarantee(self, now: float, offer: PoolOffer, search: Search) -> None:
+        """Give a pool its guarantee out of what another has beyond its own."""
+        job, spec, left = search.job, search.job.spec, search.left
+        if left <= 0 or not job.guaranteed or search.horizon > self.state.boot_s:
+            return
+        for other in self.state.pools.values():
+            theirs = [m for m in offer.serving if m.entry.pool == other.number]
+            own = sum(team.cpus for team in self.cluster.teams if team.name in other.teams)
+            beyond = sum(machine.used_cpus for machine in theirs) - own
+            for machine in sorted(theirs, key=lambda m: m.used_cpus):
+                used = machine.used_cpus
+                if other is offer.pool or left <= 0 or beyond < used or machine.entry.back:
+                    break
+                room = rental.new_room(machine.type, machine.place)
+                taken = room.take(spec, left, 0.0)
+                if taken > 0 and machine.type.name not in self.scarce.closed_to(spec):
+                    left -= taken
+                    beyond -= used
+                    self.records.ask_back(now, machine, offer.pool.number, vacate=True)
--- /dev/null
+++ b/src/copperpass/core/manager/planner.py
@@ -0,0 +1,143 @@
+"""The plan, made every quarter of a report's time: what to move, to rent and to return."""
+
+from __future__ import annotations
+
+from copperpass import peer
+from copperpass.core import allocation, rental
+from copperpass.core.directory import ANYBODY
+from copperpass.core.manager.allocation_plan import allocate, fullness, remaining_by_team
+from copperpass.core.manager.demand import Demand, DemandTracker
+from copperpass.core.manager.lending import Lending
+from copperpass.core.manager.placement_plan import PlacementPlanner
+from copperpass.core.manager.records import MachineRecords
+from copperpass.core.manager.rental_plan import MOST_PER_PLAN, RentalPlan
+from copperpass.core.manager.rentals import Rentals
+from copperpass.core.manager.state import (
+    MachineRequest,
+    ManagedMachine,
+    ManagerContext,
+    ManagerState,
+    Pool,
+)
+from copperpass.core.manager.warm_room import WarmRoom
+
+# The part of patient work's room that doesn't count as warm room for work that can't wait.
+PATIENT_PART = 1.0
+# The fleet is logged once in so many reports' time.
+SUMMARY_REPORTS = 5
+
+
+class Planner:
+    """Shares the fleet out among pools and changes its size."""
+
+    def __init__(
+        self,
+        context: ManagerContext,
+        state: ManagerState,
+        records: MachineRecords,
+        rentals: Rentals,
+    ) -> None:
+        self.state, self.rentals = state, rentals
+        self.cluster, self.jobs, self.out = context.cluster, context.jobs, context.out
+        self.tracker = DemandTracker(context, state)
+        self.lending = Lending(state, records, self.tracker)
+        self.placement = PlacementPlanner(context, state, records, self.tracker, self.lending)
+        self.warm_room = WarmRoom(context, state, self.tracker, self.lending)
+        self.next_plan = self.next_summary = state.won_at
+
+    def due(self, now: float) -> bool:
+        """Whether it is time for the next plan; needs the cloud's offer."""
+        if now < self.next_plan or not self.state.types:
+            return False
+        self.next_plan = now + max(self.state.report_s / 4, 2.0 / self.cluster.cloud.rps)
+        return True
+
+    def asked(self, now: float, frame: peer.MachineRequests) -> None:
+        """An owner has tasks that its machines have no room for in time."""
+        state = self.state
+        pool = state.pools.get(frame.pool)
+        if pool is None or frame.applied < state.added.get(pool.number, 0):
+            return
+        jobs = self.jobs.jobs
+        pool.wants = [
+            MachineRequest(jobs[job_id], count, horizon)
+            for job_id, count, horizon in frame.wants
+            if job_id in jobs
+        ]
+        pool.wants_at = now
+        if pool.wants and len(state.pools) > 1 and state.ready:
+            # Idle machines of others can serve at once; renting waits for the next plan.
+            self.tracker.sample_pool(now, pool.number, self.tracker.measure(now))
+            self.placement.serve(now, pool, state.serving(), None)
+
+    def plan(self, now: float) -> None:
+        """Compute shares, move what idles to where it is needed, rent the rest, return."""
+        demand = self.tracker.measure(now)
+        self.tracker.sample(now, demand)
+        warm = self.tracker.warm()
+        serving = self.state.serving()
+        self.lending.recount(serving)
+        taken = self._taken_by_patient(serving, demand)
+        room = sum(machine.type.cpus for machine in serving)
+        self.state.dear_excess = room - taken > warm.any
+        remaining = remaining_by_team(self.cluster, self.jobs.jobs.values())
+        allocated = allocate(self.cluster, serving, remaining)
+        order = sorted(
+            self.state.pools.values(),
+            key=lambda pool: fullness(pool, serving, remaining, allocated),
+        )
+        if not any(machine.entry.may_hold == ANYBODY for machine in serving):
+            self._change(now, order, serving, warm, taken)
+        if now >= self.next_summary:
+            self.next_summary = now + SUMMARY_REPORTS * self.state.report_s
+            self._summary(warm.any, demand.total_urgent, allocated)
+        self.warm_room.return_idle(now, warm, taken)
+
+    def _taken_by_patient(self, serving: list[ManagedMachine], demand: Demand) -> float:
+        """The CPUs in use by work that can wait.
+
+        Where a class can't wait for a boot: else nothing is gained by keeping room beside work
+        that can wait, and a good deal is paid for it.
+        """
+        used = sum(machine.used_cpus for machine in serving)
+        apart = PATIENT_PART if self.tracker.aims.urgent(self.state.boot_s) else 0.0
+        return apart * min(demand.patient, max(0.0, used - demand.total_urgent))
+
+    def _change(
+        self,
+        now: float,
+        order: list[Pool],
+        serving: list[ManagedMachine],
+        warm: rental.Warm,
+        taken: float,
+    ) -> None:
+        """Serve the pools in their order, keep warm room, rent what was planned."""
+        plan = RentalPlan.beside(serving)
+        for pool in order:
+            self.placement.serve(now, pool, serving, plan)
+        self.warm_room.keep(now, warm, serving, taken, plan)
+        self.warm_room.balance(now, serving)
+        for (place, number), count in plan.counts.items():
+            if not any(booking.place == place for booking in self.state.renting.values()):
+                self.rentals.rent(now, place, min(count, MOST_PER_PLAN), number)
+
+    def _summary(self, warm: float, tight: float, allocated: allocation.Allocation) -> None:
+        """Say for the log how the fleet stands."""
+        kinds: dict[str, list[float]] = {}
+        for machine in self.state.machines.values():
+            entry, status = machine.entry, machine.status
+            kind = "spot" if entry.spot else "ordinary"
+            state = "up" if status.up else "starting"
+            sums = kinds.setdefault(f"{entry.pool} {machine.type.name} {kind} {state}", [0, 0.0, 0])
+            sums[0] += 1
+            sums[1] += machine.type.cpus
+            sums[2] += status.idle
+        self.out.log(
+            "info",
+            "fleet",
+            warm=round(warm),
+            tight=round(tight),
+            machines={key: [round(x) for x in sums] for key, sums in sorted(kinds.items())},
+            owners={pool.number: pool.owner for pool in self.state.pools.values()},
+            factors=[round(factor, 3) for factor in allocated.factors],
+        )
--- /dev/null
+++ b/src/copperpass/core/manager/records.py
@@ -0,0 +1,146 @@
+"""The records of machines: entries told to the members, tokens, handovers."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from copperpass.core.directory import (
+    ANYBODY,
+    EMPTY,
+    MOST_HANDOVERS,
+    UNPOOLED,
+    Contact,
+    Entry,
+    Status,
+    base_token,
+)
+from copperpass.core.manager.state import ManagedMachine, ManagerContext, ManagerState
+from copperpass.core.rental import Place
+
+# Handovers left beside one for each machine when a term gives up its authority.
+HANDOVERS_KEPT = 1000
+
+
+class MachineRecords:
+    """Adds, changes and removes machines; the only writer of the table of entries.
+
+    Every change of who commands a machine takes a higher token.
+    """
+
+    def __init__(self, context: ManagerContext, state: ManagerState) -> None:
+        self.state, self.fleet_store = state, state.fleet_store
+        # What the term before knew of the machines.
+        self.hints = context.hints
+        self.handover = 0
+
+    def next_base(self) -> int:
+        """A token higher than all before it in this term."""
+        self.handover += 1
+        return base_token(self.state.epoch, self.handover)
+
+    def used_up(self) -> bool:
+        """Whether there are hardly more tokens left than machines to disown."""
+        return self.handover >= MOST_HANDOVERS - len(self.state.machines) - HANDOVERS_KEPT
+
+    def update(self, machine: ManagedMachine, **changes: object) -> None:
+        """Change fields of a machine's entry."""
+        machine.entry = replace(machine.entry, **changes)  # type: ignore[arg-type]
+        self.state.table.put(machine.entry)
+
+    def add(
+        self,
+        now: float,
+        name: str,
+        place: Place,
+        pool: int,
+        may_hold: int,
+        contact: Contact | None = None,
+    ) -> ManagedMachine:
+        """Take up a machine; one that the fleet's record lacks has never been up."""
+        state = self.state
+        recorded = name in self.fleet_store.stored
+        base = self.next_base()
+        entry = Entry(
+            name,
+            place.type,
+            place.zone,
+            place.spot,
+            pool,
+            base,
+            may_hold if recorded else EMPTY,
+            recorded,
+            contact=contact,
+        )
+        machine = ManagedMachine(entry, state.types[place.type], now, Status(name, base))
+        state.machines[name] = machine
+        state.table.put(entry)
+        state.added[pool] = state.table.seq
+        return machine
+
+    def restore(self, now: float) -> None:
+        """Take up the machines that the fleet's record names, as the term before knew them."""
+        for name, stored in self.fleet_store.places.items():
+            place = Place(*stored)
+            if place.type in self.state.types and name not in self.state.gone:
+                hint = self.hints.get(name)
+                known = hint is not None and not hint.gone
+                pool = hint.pool if hint is not None and known else UNPOOLED
+                contact = hint.contact if hint is not None and known else None
+                self.add(now, name, place, pool, ANYBODY, contact)
+
+    def mark_recorded(self, now: float, names: set[str]) -> None:
+        """The fleet's record says of these machines that they have been up."""
+        for name in names:
+            machine = self.state.machines.get(name)
+            if machine is not None:
+                self.update(machine, recorded=True)
+
+    def learn_contact(self, machine: ManagedMachine, address: str, session: int) -> None:
+        """Where a machine answers; kept for whoever commands it next."""
+        known = machine.entry.contact
+        if known is None or (known.address, known.session) != (address, session):
+            self.update(machine, contact=Contact(address, session, 0))
+
+    def rebase(
+        self,
+        machine: ManagedMachine,
+        pool: int,
+        may_hold: int,
+        status: Status | None = None,
+    ) -> None:
+        """Change who commands a machine, under a higher token."""
+        base = self.next_base()
+        machine.back_for, machine.back_until = None, 0.0
+        proven = status is not None and may_hold == EMPTY and status.contact is not None
+        contact = status.contact if status is not None and proven else machine.entry.contact
+        machine.status = Status(machine.entry.name, base, up=machine.status.up)
+        self.update(
+            machine,
+            pool=pool,
+            base=base,
+            may_hold=may_hold,
+            back=False,
+            vacate=False,
+            proven=proven,
+            contact=contact,
+        )
+        self.state.added[pool] = self.state.table.seq
+
+    def ask_back(
+        self, now: float, machine: ManagedMachine, pool: int | None, vacate: bool = False
+    ) -> None:
+        """Ask a machine's owner to give it back: for another pool, or to be returned."""
+        if machine.entry.pool == UNPOOLED:
+            return
+        machine.back_for, machine.back_until = pool, now + self.state.report_s
+        self.update(machine, back=True, vacate=vacate)
+
+    def mark_gone(self, now: float, machine: ManagedMachine) -> None:
+        """The cloud has confirmed: the machine and all on it are gone."""
+        name = machine.entry.name
+        if self.state.machines.get(name) is not machine:
+            return
+        del self.state.machines[name]
+        self.state.gone[name] = now
+        self.update(machine, gone=True, may_hold=EMPTY)
+        self.fleet_store.gone(now, name)
--- /dev/null
+++ b/src/copperpass/core/manager/rentals.py
@@ -0,0 +1,122 @@
+"""Calls to the cloud that rent machines and return them."""
+
+from __future__ import annotations
+
+from copperpass import wire
+from copperpass.core.directory import EMPTY
+from copperpass.core.manager.records import MachineRecords
+from copperpass.core.manager.state import Booking, ManagedMachine, ManagerContext, ManagerState
+from copperpass.core.ports import NO_ANSWER, Call, Outcome
+from copperpass.core.rental import Place
+from copperpass.core.transactions import Budget
+
+# Returns and lists of machines may take this part of the cloud's rate; as much of it as comes up
+# in the second figure's seconds can be saved up.
+RATE_PART = 0.9
+BURST_S = 1.8
+TRIES = 3
+CALL_TIMEOUT_S = 3.0
+# Seconds after which a return that the cloud hasn't confirmed is asked again.
+RELEASE_AGAIN_S = 2.0
+RELEASES_PER_CALL = 100
+
+
+class Rentals:
+    """Books machines and returns them.
+
+    A booking is stored in the fleet's record before the cloud is asked, under a name that no other
+    node ever uses, so that a later term can ask again and learn what it brought.
+    """
+
+    def __init__(
+        self, context: ManagerContext, state: ManagerState, records: MachineRecords
+    ) -> None:
+        self.state, self.records, self.fleet_store = state, records, state.fleet_store
+        self.out, self.authority = context.out, context.authority
+        rps = context.cluster.cloud.rps
+        self.calls = Budget(RATE_PART * rps, max(BURST_S * rps, 2.0))
+        self.booking = 0
+
+    def resume(self, now: float) -> None:
+        """Ask again for the bookings of terms before: they may have been carried out."""
+        for request, (stored, count) in list(self.fleet_store.booked.items()):
+            booking = Booking(Place(*stored), count, self.state.neediest_pool())
+            self.state.renting[request] = booking
+            self._book(now, booking, request, TRIES)
+
+    def rent(self, now: float, place: Place, count: int, pool: int) -> None:
+        """Book machines for a pool."""
+        self.booking += 1
+        # The token is this authority's alone, so the name is never used again by any node.
+        request = f"b-{self.state.epoch}-{self.booking}"
+        booking = Booking(place, count, pool)
+        self.state.renting[request] = booking
+
+        def stored(n: float, ok: bool) -> None:
+            if ok and self.authority.entitled(n):
+                self._book(n, booking, request, TRIES)
+            else:
+                self.state.renting.pop(request, None)
+                self.fleet_store.ended(n, request, [])
+
+        self.fleet_store.book(now, request, place, count, stored)
+
+    def _book(self, now: float, booking: Booking, request: str, tries: int) -> None:
+        """Ask the cloud for a booking's machines."""
+        place = booking.place
+
+        def then(n: float, outcome: Outcome) -> None:
+            if outcome.status == 200:
+                self._rented(n, booking, request, outcome.body)
+                return
+            if outcome.status in (NO_ANSWER, 429) and tries > 1 and self.authority.entitled(n):
+                self._book(n, booking, request, tries - 1)
+                return
+            self.state.renting.pop(request, None)
+            self.state.refusals.refused(place, n, self.state.boot_s / 2)
+            if outcome.status != NO_ANSWER:
+                self.fleet_store.ended(n, request, [])
+
+        body = wire.rental(request, place.type, place.zone, place.spot, booking.machines)
+        self.out.calls.append(Call("cloud", "POST", wire.PATH_RENTALS, then, body, CALL_TIMEOUT_S))
+
+    def _rented(self, now: float, booking: Booking, request: str, body: bytes) -> None:
+        """The cloud has carried out a booking, in full or in part."""
+        state, place = self.state, booking.place
+        known = state.renting.pop(request, None)
+        pool = known.pool if known is not None else state.neediest_pool()
+        rented = wire.decode(body, wire.Rented)
+        names = rented.machines if rented else []
+        if len(names) < booking.machines:
+            state.refusals.refused(place, now, state.boot_s / 2)
+        else:
+            state.refusals.granted(place)
+        self.out.log("info", "rented", place=str(tuple(place)), count=len(names), pool=pool)
+        self.fleet_store.ended(now, request, names)
+        for name in names:
+            if name not in state.machines and name not in state.gone:
+                self.records.add(now, name, place, pool, EMPTY)
+
+    def release(self, now: float, machines: list[ManagedMachine]) -> None:
+        """Return machines, with those whose return hasn't been confirmed."""
+        if not self.authority.entitled(now):
+            return
+        for machine in machines:
+            machine.releasing = True
+        waiting = [
+            machine
+            for machine in self.state.machines.values()
+            if machine.releasing and now - machine.release_sent > RELEASE_AGAIN_S
+        ][:RELEASES_PER_CALL]
+        if not waiting or not self.calls.take(now, 1.0):
+            return
+        for machine in waiting:
+            machine.release_sent = now
+
+        def then(n: float, outcome: Outcome) -> None:
+            if outcome.status == 200:
+                for machine in waiting:
+                    self.records.mark_gone(n, machine)
+
+        body = wire.release([machine.entry.name for machine in waiting])
+        self.out.calls.append(Call("cloud", "POST", wire.PATH_RELEASE, then, body, CALL_TIMEOUT_S))
--- /dev/null
+++ b/src/copperpass/core/manager/state.py
@@ -0,0 +1,207 @@
+"""What the parts of the leader's control loop share during one term."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from copperpass import wire
+from copperpass.core import rental
+from copperpass.core.authority import GRANT_PER_TTL, Authority, certain_lease_s
+from copperpass.core.directory import Entry, Feed, Inbox, Status, Table
+from copperpass.core.fleet_store import FleetStore, StoredFleet
+from copperpass.core.jobs import Job, JobTable
+from copperpass.core.ports import Outbox
+from copperpass.core.rental import Place
+from copperpass.core.transactions import TransactionQueue
+from copperpass.settings import Cluster
+from copperpass.tuning import Tuning
+
+# The revision of a pool whose new owner has to wait until one has been read.
+UNKNOWN_REVISION = (1 << 62) - 1
+
+
+@dataclass(slots=True)
+class ManagedMachine:
+    """A rented machine, as the leader sees it."""
+
+    entry: Entry
+    type: wire.MachineType
+    rented_at: float
+    status: Status
+    up_at: float = 0.0
+    idle_since: float = 0.0
+    used_cpus: float = 0.0
+    listed: bool = False
+    releasing: bool = False
+    release_sent: float = float("-inf")
+    # The pool that it is asked back for; None: to be returned.
+    back_for: int | None = None
+    back_until: float = 0.0
+
+    @property
+    def place(self) -> Place:
+        """What it was rented as."""
+        return Place(self.entry.type, self.entry.zone, self.entry.spot)
+
+    @property
+    def spare(self) -> bool:
+        """Whether it could be used elsewhere or returned now."""
+        return (
+            self.status.idle
+            and self.status.settled
+            and not self.releasing
+            and not self.status.release
+            and not self.entry.failed
+        )
+
+
+class MachineRequest(NamedTuple):
+    """Tasks of a job that an owner's machines have no room for in time."""
+
+    job: Job
+    tasks: int
+    # Seconds until the tasks should start.
+    horizon: float
+
+
+class Booking(NamedTuple):
+    """Machines asked of the cloud, without an answer so far."""
+
+    place: Place
+    machines: int
+    pool: int
+
+
+@dataclass(slots=True)
+class Pool:
+    """Teams that share an owner and its machines."""
+
+    number: int
+    teams: list[str]
+    owner: str = ""
+    serial: int = 0
+    revision: int = UNKNOWN_REVISION
+    # How far the table had come when the pool was given.
+    at: int = 0
+    reading: bool = False
+    free_at: float = 0.0
+    wants: list[MachineRequest] = field(default_factory=list)
+    wants_at: float = float("-inf")
+    # The zones that jobs in it are tied to, as the owner says.
+    ties: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Grantee:
+    """A member that may own pools."""
+
+    incarnation: int = 0
+    # When this run of the member first asked.
+    since: float = float("inf")
+    heard: float = float("-inf")
+    granted_until: float = float("-inf")
+    feed: Feed[Entry] | None = None
+    inbox: Inbox = field(default_factory=Inbox)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ManagerContext:
+    """What a node gives to the manager of a term that it leads.
+
+    The job table, the types and the stored fleet are the node's own and change while the term
+    lasts; `hints` and `owners` are what the term before knew: whose each machine was, and who
+    owned which pool.
+    """
+
+    cluster: Cluster
+    tuning: Tuning
+    out: Outbox
+    transactions: TransactionQueue
+    authority: Authority
+    jobs: JobTable
+    types: dict[str, wire.MachineType]
+    fleet: StoredFleet
+    # The pool of each team.
+    pools: dict[str, int]
+    hints: dict[str, Entry]
+    owners: dict[int, str]
+    incarnation: int
+    # Whether a member's heartbeats come in at a moment.
+    linked: Callable[[float, str], bool]
+    # Whether all members are certainly of this version or a later one.
+    proven: Callable[[], bool] = lambda: False
+
+
+class ManagerState:
+    """Machines, pools, grantees and bookings of one term.
+
+    Every machine stands in `machines` and in `table`, whose entries go to the members; one that the
+    cloud has confirmed as deleted stands in `gone` until no late message can speak of it.
+    """
+
+    def __init__(self, context: ManagerContext, now: float) -> None:
+        self.cluster, self.types, self.authority = context.cluster, context.types, context.authority
+        self.member = context.authority.member
+        self.epoch = context.authority.token
+        self.won_at = now
+        self.ready = False
+        self.grant_s = GRANT_PER_TTL * context.authority.ttl
+        self.report_s = context.cluster.workers.report_s
+        self.lease_s = certain_lease_s(context.cluster)
+        self.boot_s = rental.longest_boot(context.types)
+        self.table: Table[Entry] = Table()
+        self.machines: dict[str, ManagedMachine] = {}
+        # When each deleted machine was confirmed as gone.
+        self.gone: dict[str, float] = {}
+        # The table's number when a machine was last added to each pool.
+        self.added: dict[int, int] = {}
+        self.grantees: dict[str, Grantee] = {}
+        self.grantees[self.member] = Grantee(context.incarnation, now, now, float("inf"))
+        self.pool_of = context.pools
+        self.pools: dict[int, Pool] = {}
+        for team, number in context.pools.items():
+            self.pools.setdefault(number, Pool(number, [])).teams.append(team)
+        self.renting: dict[str, Booking] = {}
+        self.refusals = rental.Refusals()
+        # Whether there is more room than has to be kept: work that can wait gets cheap room only.
+        self.dear_excess = True
+        state = context.cluster.state
+        self.fleet_store = FleetStore(
+            context.transactions,
+            self.token_version,
+            state.value_kb * 1024,
+            4 / state.least_write_rps,
+            context.cluster.workers.lease_s,
+            state.least_value_bytes,
+            state.least_txn_ops,
+            context.proven,
+            state.next is not None,
+        )
+
+    def token_version(self) -> int:
+        """The version of the token counter that guards this term's writes."""
+        return self.authority.win_revision
+
+    def serving(self) -> list[ManagedMachine]:
+        """The machines that are neither going nor broken."""
+        return [
+            machine
+            for machine in self.machines.values()
+            if not machine.releasing and not machine.status.release and not machine.entry.failed
+        ]
+
+    def owner_of(self, machine: ManagedMachine) -> str:
+        """The member that owns a machine's pool; empty where nobody does."""
+        pool = self.pools.get(machine.entry.pool)
+        return pool.owner if pool is not None else ""
+
+    def neediest_pool(self) -> int:
+        """The pool whose tasks have the least room for their number."""
+
+        def pressure(pool: Pool) -> tuple[float, int]:
+            want = sum(request.tasks * request.job.spec.cpus for request in pool.wants)
+            return (-want, pool.number)
+
+        return min(self.pools.values(), key=pressure).number
--- /dev/null
+++ b/src/copperpass/core/manager/warm_room.py
@@ -0,0 +1,151 @@
+"""Room kept up before it is asked for, and the return of what idles beyond it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from copperpass.core import dispatch, rental
+from copperpass.core.manager.demand import DemandTracker
+from copperpass.core.manager.lending import Lending
+from copperpass.core.manager.rental_plan import RentalPlan
+from copperpass.core.manager.state import ManagedMachine, ManagerContext, ManagerState
+from copperpass.core.rental import Place
+
+
+class WarmRoom:
+    """Keeps room for urgent work that may come: rents it, spreads it over pools, returns the rest.
+
+    `taken` is everywhere the CPUs in use by work that can wait: they don't count as room.
+    """
+
+    def __init__(
+        self,
+        context: ManagerContext,
+        state: ManagerState,
+        tracker: DemandTracker,
+        lending: Lending,
+    ) -> None:
+        self.state, self.tracker, self.lending = state, tracker, lending
+        self.fleet_store, self.tuning = state.fleet_store, context.tuning
+
+    def keep(
+        self,
+        now: float,
+        warm: rental.Warm,
+        serving: list[ManagedMachine],
+        taken: float,
+        plan: RentalPlan,
+    ) -> None:
+        """Plan machines until there is the warm room, for the pools that are covered least."""
+        types, refusals = self.state.types, self.state.refusals
+        total = sum(machine.type.cpus for machine in serving) - taken
+        total += sum(types[p.type].cpus * count for p, count, _ in self.state.renting.values())
+        total += sum(types[d.place.type].cpus * count for d, count in plan.counts.items())
+        scarce = self.tracker.scarce_types()
+        cover = self.lending.cover(serving)
+        for cpus, spot_only in ((warm.any, False), (warm.cheap, True)):
+            while total < cpus and not plan.full and not self.fleet_store.full():
+                place = rental.choose_place(
+                    None, 1, types, plan.zones, refusals, now, spot_only, scarce
+                )
+                if place is None:
+                    break
+                total += types[place.type].cpus
+                number = cover.least()
+                cover.have[number] += types[place.type].cpus
+                plan.add(place, number)
+        for number in self.state.pools:
+            self._keep_ordinary(now, number, serving, scarce, plan)
+
+    def _keep_ordinary(
+        self,
+        now: float,
+        number: int,
+        serving: list[ManagedMachine],
+        closed: set[str],
+        plan: RentalPlan,
+    ) -> None:
+        """Plan ordinary room for a pool's urgent work that may use no other.
+
+        In the zone that has most of it, since a gang needs room in one zone; elsewhere when that
+        zone has no more.
+        """
+        need = self.tracker.ordinary_peaks[number].value()
+        zones = self._ordinary_by_zone(number, serving, plan)
+        while sum(zones.values()) < need and not plan.full and not self.fleet_store.full():
+            most = max(sorted(zones), key=lambda zone: zones[zone], default=None)
+            found: Place | None = None
+            for within in dict.fromkeys((most, None)):
+                found = found or self._ordinary_place(now, closed, within)
+            if found is None:
+                break
+            zones[found.zone] = zones.get(found.zone, 0.0) + self.state.types[found.type].cpus
+            plan.add(found, number)
+
+    def _ordinary_by_zone(
+        self, number: int, serving: list[ManagedMachine], plan: RentalPlan
+    ) -> dict[str, float]:
+        """The ordinary CPUs that a pool has or will have, by zone."""
+        zones: dict[str, float] = {}
+        for machine in serving:
+            if machine.entry.pool == number and not machine.entry.spot:
+                zone = machine.entry.zone
+                zones[zone] = zones.get(zone, 0.0) + machine.type.cpus
+        for place, count in self._coming(number, plan):
+            if not place.spot:
+                cpus = self.state.types[place.type].cpus * count
+                zones[place.zone] = zones.get(place.zone, 0.0) + cpus
+        return zones
+
+    def _coming(self, number: int, plan: RentalPlan) -> Iterator[tuple[Place, int]]:
+        """The machines booked or planned for a pool."""
+        for booking in self.state.renting.values():
+            if booking.pool == number:
+                yield booking.place, booking.machines
+        for destination, count in plan.counts.items():
+            if destination.pool == number:
+                yield destination.place, count
+
+    def _ordinary_place(self, now: float, closed: set[str], within: str | None) -> Place | None:
+        """The cheapest place for an ordinary machine, in one zone or in any."""
+        state = self.state
+        return rental.choose_place(
+            None, 1, state.types, {}, state.refusals, now, False, closed, within, dear_only=True
+        )
+
+    def balance(self, now: float, serving: list[ManagedMachine]) -> None:
+        """Move idle machines to the pool whose peak is covered least, before it asks."""
+        if len(self.state.pools) == 1:
+            return
+        cover = self.lending.cover(serving)
+        scarce = self.tracker.scarce_types()
+        for machine in serving:
+            short, own = cover.least(), machine.entry.pool
+            if cover.of(short) >= 1.0:
+                break
+            if not machine.spare or machine.entry.back or own not in cover.have or own == short:
+                continue
+            if machine.type.name in scarce or not self.lending.may_leave(machine):
+                continue
+            if cover.may_lend(own, short, machine.type.cpus):
+                cover.move(own, short, machine.type.cpus)
+                self.lending.let_go(now, machine, short)
+
+    def return_idle(self, now: float, warm: rental.Warm, taken: float) -> None:
+        """Ask back the dearest idle machines beyond the warm room."""
+        serving = self.state.serving()
+        total = sum(machine.type.cpus for machine in serving) - taken
+        idle_s = self.tuning.idle_boots * self.state.boot_s
+        idle = [
+            machine
+            for machine in serving
+            if machine.spare
+            and not machine.entry.back
+            and now - max(machine.idle_since, machine.up_at) >= idle_s
+        ]
+        idle.sort(key=lambda m: -dispatch.price_of(m.type, m.entry.spot) / m.type.cpus)
+        for machine in idle:
+            kept = warm.cheap if machine.entry.spot else warm.any
+            if total - machine.type.cpus >= kept and self.lending.may_leave(machine):
+                total -= machine.type.cpus
+                self.lending.let_go(now, machine, None)
--- a/src/copperpass/core/node.py
+++ b/src/copperpass/core/node.py
@@ -8,7 +8,7 @@
 
 from copperpass import peer, wire
 from copperpass.core.authority import GRANT_PER_TTL, LEAD, TOKEN, Authority, times_of
-from copperpass.core.cluster_manager import ClusterManager
+from copperpass.core.cluster_manager import ClusterManager, ManagerContext
 from copperpass.core.fleet_store import StoredFleet
 from copperpass.core.grant_client import BATCH, GrantClient
 from copperpass.core.jobs import COMPLETIONS, LIVE, JobTable
@@ -371,23 +371,23 @@
             **grant_client.owned_before,
             **{n: s.member for n, s in grant_client.shares.items()},
         }
-        self.cluster_manager = ClusterManager(
-            self.cluster,
-            self.out,
-            self.transactions,
-            self.jobs,
-            self.types,
-            self.authority,
-            self.fleet,
-            self.pools,
-            hints,
-            owned,
-            grant_client.incarnation,
-            self._linked,
-            now,
-            self.tuning,
-            self.members.all_proven,
+        context = ManagerContext(
+            cluster=self.cluster,
+            tuning=self.tuning,
+            out=self.out,
+            transactions=self.transactions,
+            authority=self.authority,
+            jobs=self.jobs,
+            types=self.types,
+            fleet=self.fleet,
+            pools=self.pools,
+            hints=hints,
+            owners=owned,
+            incarnation=grant_client.incarnation,
+            linked=self._linked,
+            proven=self.members.all_proven,
         )
+        self.cluster_manager = ClusterManager(context, now)
         if continued and before is not None:
             # Members follow the new token, so they need a term under it. The grants of the term
             # before have not ended with an authority that goes on: they are waited out.
--- a/src/copperpass/core/rental.py
+++ b/src/copperpass/core/rental.py
@@ -5,6 +5,7 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 import msgspec
 
@@ -13,7 +14,13 @@
 from copperpass.core.fleet import Machine, allows, type_fits
 from copperpass.core.jobs import Job
 
-Place = tuple[str, str, bool]
+
+class Place(NamedTuple):
+    """What can be rented: a type of machine in a zone, of the cheap kind or the ordinary one."""
+
+    type: str
+    zone: str
+    spot: bool
 
 
 def longest_boot(types: dict[str, wire.MachineType]) -> float:
@@ -211,7 +218,7 @@
                 continue
             price = price_of(machine_type, spot)
             for zone in machine_type.zones:
-                place = (machine_type.name, zone, spot)
+                place = Place(machine_type.name, zone, spot)
                 if spec is not None and not allows(spec, machine_type, zone, spot):
                     continue
                 if within is not None and zone != within:
@@ -243,13 +250,20 @@
     return rooms
 
 
+def cannot_wait(job: Job, aims: Aims, boot_s: float) -> bool:
+    """Whether a job must start before a machine could boot for it.
+
+    By its class's objective, or as a guaranteed job by the objective for guarantees.
+    """
+    wait = aims.tightest_wait(job.spec.job_class)
+    if wait is not None and wait < boot_s:
+        return True
+    return aims.guarantee is not None and aims.guarantee < boot_s and job.guaranteed
+
+
 def needs_ordinary(job: Job, aims: Aims, boot_s: float) -> bool:
     """Whether a job may use ordinary machines only and can't wait for one to boot."""
-    if job.spec.spot:
-        return False
-    wait = aims.tightest_wait(job.spec.job_class)
-    tight = aims.guarantee is not None and aims.guarantee < boot_s and job.guaranteed
-    return tight or (wait is not None and wait < boot_s)
+    return not job.spec.spot and cannot_wait(job, aims, boot_s)
 
 
 def left_room(machine_type: wire.MachineType, place: Place, used_cpus: float) -> Room:
@@ -257,8 +271,8 @@
     part = 1.0 - used_cpus / machine_type.cpus if machine_type.cpus > 0 else 1.0
     return Room(
         machine_type,
-        place[1],
-        place[2],
+        place.zone,
+        place.spot,
         machine_type.cpus - used_cpus,
         machine_type.gpus * part,
         machine_type.memory_gb * part,
@@ -270,8 +284,8 @@
     """What an empty machine offers."""
     return Room(
         machine_type,
-        place[1],
-        place[2],
+        place.zone,
+        place.spot,
         machine_type.cpus,
         machine_type.gpus,
         machine_type.memory_gb,
