One typed policy for where a job's tasks may be placed, in place of five switches

Ranking took closed, cheap_only, tight, kept and any_room, and rounds and gangs each filled them in alike. They are a PlacementPolicy now, built in one place (PoolScheduler._policy) for gangs and single tasks. No change of behaviour is meant: a gang's policy still reserves no ordinary machines, as before. The test of test_order.py builds the policy and keeps each assertion.

--- a/src/copperpass/core/dispatch.py
+++ b/src/copperpass/core/dispatch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from dataclasses import dataclass
 
 from copperpass import wire
@@ -149,14 +149,29 @@
     return best[2] if best else None
 
 
+@dataclass(frozen=True, slots=True)
+class PlacementPolicy:
+    """Which of the machines that have room for a job's tasks they may use, and which first."""
+
+    # Types that are reserved for larger tasks.
+    closed_types: Set[str] = frozenset()
+    # Only spot machines: the job can wait for one.
+    spot_only: bool = False
+    # Time is short: an image that is there already counts for more than a low price.
+    urgent: bool = False
+    # Ordinary machines that are reserved for jobs that may use no other.
+    reserved: frozenset[str] = frozenset()
+    # Neither reserved machines nor those held for another job are closed.
+    ignore_reservations: bool = False
+
+
 class Ranking:
     """The machines for one job's tasks in a round: image there, cheap, the least room left.
 
     All machines are judged once; after that only those where something has been started since, so
-    a round's cost grows with what it starts, not with that times the fleet. Types in `closed` are
-    for larger tasks only. Cheap machines come first: then the dear ones fall idle in a lull and can
-    go back. Where time is tight, no fetch comes before a low price. Machines where the job has
-    failed come last.
+    a round's cost grows with what it starts, not with that times the fleet. Cheap machines come
+    first: then the dear ones fall idle in a lull and can go back. Machines where the job has failed
+    come last. `since` is the length of the round's log of started machines at this moment.
     """
 
     def __init__(
@@ -165,18 +180,11 @@
         roomy: Iterable[Machine],
         machines: dict[str, Machine],
         now: float,
-        *,
-        closed: set[str],
-        cheap_only: bool,
-        tight: bool,
+        policy: PlacementPolicy,
         since: int = 0,
-        kept: frozenset[str] = frozenset(),
-        any_room: bool = False,
     ) -> None:
-        self.any_room = any_room
         self.job, self.machines, self.now = job, machines, now
-        self.kept = kept
-        self.closed, self.cheap_only, self.tight = closed, cheap_only, tight
+        self.policy = policy
         self.since = since
         self.heap: list[tuple[tuple[float, ...], int, Machine]] = []
         self.count = 0
@@ -191,20 +199,20 @@
 
     def _score(self, machine: Machine) -> tuple[float, ...] | None:
         """The lower the better; None if no task of the job may start there."""
-        spec, kind = self.job.spec, machine.type
+        spec, kind, policy = self.job.spec, machine.type, self.policy
         if not machine.has_room(spec) or not allows(spec, kind, machine.zone, machine.spot):
             return None
-        if (self.cheap_only and not machine.spot) or kind.name in self.closed:
+        if (policy.spot_only and not machine.spot) or kind.name in policy.closed_types:
             return None
         if (
             machine.held_from(spec.id, self.now)
-            and not self.any_room
+            and not policy.ignore_reservations
             and not (self.now + 2 * spec.estimate_s < machine.held_ready)
         ):
             # Room that was freed by stopping tasks is for the job they were stopped for; room that
             # is held for a gang serves short work until the gang's other room is free.
             return None
-        if spec.spot and machine.name in self.kept and not self.any_room:
+        if spec.spot and machine.name in policy.reserved and not policy.ignore_reservations:
             # Ordinary room is kept for work that may not use any other.
             return None
         left = kind.cpus - machine.used_cpus - spec.cpus
@@ -213,7 +221,7 @@
             fetch = spec.image_gb / max(kind.fetch_gb_per_s, 1e-3)
         return (
             float(machine.name in self.job.failed_on),
-            fetch if self.tight else 0.0,
+            fetch if policy.urgent else 0.0,
             price_of(kind, machine.spot) / max(kind.cpus, 1e-6),
             fetch,
             (kind.cpus > 2 * spec.cpus and left) or 0.0,
--- a/src/copperpass/core/pool_scheduler.py
+++ b/src/copperpass/core/pool_scheduler.py
@@ -1251,12 +1251,8 @@
                         roomy,
                         self.machines,
                         now,
-                        closed=set() if left_out else self.scarce.closed_to(spec),
-                        cheap_only=patient,
-                        tight=slack < self.boot_s,
-                        since=len(log),
-                        kept=self.kept,
-                        any_room=left_out,
+                        self._policy(job, left_out, patient, slack < self.boot_s),
+                        len(log),
                     )
                 machine = ranking.best(log)
                 if machine is None and shape is not None:
@@ -1306,6 +1302,18 @@
         waits = not job.placed and not job.finished and job.done_count == 0
         return waits and now - job.arrived > KEPT_PART * self.tuning.patience_s
 
+    def _policy(
+        self, job: Job, left_out: bool, spot_only: bool, urgent: bool
+    ) -> dispatch.PlacementPolicy:
+        """Where the job's tasks may be started in this round, whether a gang's or single ones."""
+        return dispatch.PlacementPolicy(
+            closed_types=frozenset() if left_out else self.scarce.closed_to(job.spec),
+            spot_only=spot_only,
+            urgent=urgent,
+            reserved=frozenset() if job.spec.gang else self.kept,
+            ignore_reservations=left_out,
+        )
+
     def _place_gang(
         self,
         now: float,
@@ -1329,18 +1337,8 @@
         ):
             # A task of an earlier attempt is not proven gone.
             return None
-        left_out = self._left_out(job, now)
-        ranking = dispatch.Ranking(
-            job,
-            roomy,
-            self.machines,
-            now,
-            closed=set() if left_out else self.scarce.closed_to(spec),
-            cheap_only=False,
-            tight=True,
-            since=len(log),
-            any_room=left_out,
-        )
+        policy = self._policy(job, self._left_out(job, now), spot_only=False, urgent=True)
+        ranking = dispatch.Ranking(job, roomy, self.machines, now, policy, len(log))
         plan = dispatch.plan_gang(ranking, self.machines)
         if plan is None:
             if job.placed:
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -6,7 +6,7 @@
 import pytest
 
 from copperpass import wire
-from copperpass.core.dispatch import Aims, Ranking, Scarce, share_late, task_order
+from copperpass.core.dispatch import Aims, PlacementPolicy, Ranking, Scarce, share_late, task_order
 from copperpass.core.fleet import Machine
 from copperpass.core.jobs import make_job
 from copperpass.settings import Objective
@@ -111,13 +111,13 @@
             )
             for n in (1, 2)
         ]
-        more = {"closed": set(), "cheap_only": False, "tight": rng.random() < 0.5}
+        policy = PlacementPolicy(urgent=rng.random() < 0.5)
         roomy, log = list(machines.values()), []
-        kept = [Ranking(j, roomy, machines, 0.0, **more) for j in jobs]
+        kept = [Ranking(j, roomy, machines, 0.0, policy) for j in jobs]
         for index in range(6):
             for each, ranking in zip(jobs, kept, strict=True):
                 chosen = ranking.best(log)
-                afresh = Ranking(each, roomy, machines, 0.0, **more)
+                afresh = Ranking(each, roomy, machines, 0.0, policy)
                 assert (chosen is None) == (afresh.best([]) is None)
                 if chosen is None:
                     continue
