--- a/src/copperpass/core/grant_client.py
+++ b/src/copperpass/core/grant_client.py
@@ -9,8 +9,9 @@
 from copperpass.core.authority import DRIFT, GRANT_PER_TTL
 from copperpass.core.cluster_manager import UNKNOWN_REVISION, ClusterManager
 from copperpass.core.directory import Entry, Feed, Inbox, Status, Table
-from copperpass.core.pool_scheduler import Images, PoolScheduler
+from copperpass.core.pool_scheduler import PoolScheduler
 from copperpass.core.ports import Outbox
+from copperpass.core.scheduling.context import Images
 
 # Entries to a frame: some 70 bytes each.
 BATCH = 200
--- a/src/copperpass/core/node.py
+++ b/src/copperpass/core/node.py
@@ -16,6 +16,7 @@
 from copperpass.core.ports import Call, Outbox, Outcome, Reply
 from copperpass.core.relay import Relay
 from copperpass.core.rental import longest_boot
+from copperpass.core.scheduling.context import SchedulerContext
 from copperpass.core.transactions import GATHERED, INVALID, Op, TransactionQueue
 from copperpass.core.users import UserApi
 from copperpass.core.versions import VersionRegistry
@@ -396,25 +397,24 @@
 
     def _make_owner(self, share: peer.Share) -> PoolScheduler:
         grant_client = self.grant_client
-        return PoolScheduler(
+        context = SchedulerContext(
             self.cluster,
             self.out,
             self.transactions,
             self.jobs,
             self.types,
             self.versions,
-            pool=share.pool,
-            pools=self.pools,
-            epoch=grant_client.epoch,
-            serial=share.serial,
-            revision=share.revision,
+            share.pool,
+            self.pools,
+            grant_client.epoch,
+            share.serial,
             token_version=lambda: grant_client.token_version,
             entitled=grant_client.entitled,
-            now=self.now,
             tuning=self.tuning,
             images=grant_client.images,
             fresh_at=lambda: self.view.fresh_at,
         )
+        return PoolScheduler(context, revision=share.revision, now=self.now)
 
     def _mind_isolation(self, now: float, cluster_manager: ClusterManager) -> None:
         """Step down when neither workers nor other controllers can be heard.
@@ -480,7 +480,7 @@
         self.user_api.types = self.types
         longest = longest_boot(self.types)
         for owner in self.schedulers:
-            owner.boot_s = longest
+            owner.timing.boot_s = longest
         if self.cluster_manager is not None:
             self.cluster_manager.boot_s = longest
 
--- /dev/null
+++ b/src/copperpass/core/scheduling/commands.py
@@ -0,0 +1,175 @@
+"""Commands to workers: in answers to reports, sent directly, and probes without commands."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from copperpass import wire
+from copperpass.core.fleet import Machine, Placement
+from copperpass.core.jobs import task_id
+from copperpass.core.ports import Call, Outcome
+from copperpass.core.scheduling.context import SchedulerContext
+from copperpass.core.scheduling.state import PoolState
+
+# The part of all connections that direct commands of all pools together may take, and the least
+# number for one pool.
+CONNECTIONS_PER_DIRECT = 8
+LEAST_DIRECTS = 8
+
+# Takes the answer to a direct command: now, outcome, machine, the starts that were sent, and
+# whether any command was sent.
+DirectAnswer = Callable[[float, Outcome, Machine, list[Placement], bool], None]
+
+
+class Commands:
+    """Sends starts, stops and clearances; at most one direct request a machine at a time.
+
+    `on_answer` is set by the scheduler that wires the parts, before the first command.
+    """
+
+    on_answer: DirectAnswer
+
+    def __init__(self, context: SchedulerContext, state: PoolState) -> None:
+        self.context, self.state = context, state
+        self.timing = state.timing
+        # Commands that are being sent straight to workers, and how many may be at once.
+        self.directs = 0
+        pools = len(set(context.pools.values()))
+        connections = context.cluster.resources.max_connections
+        self.most_directs = max(LEAST_DIRECTS, connections // (CONNECTIONS_PER_DIRECT * pools))
+
+    def suspect_deaf(self, now: float, machine: Machine) -> None:
+        """What was sent has not arrived for certain, although reports do: it may be deaf.
+
+        Such a machine would swallow starts again and again. It gets no new work until it shows a
+        token that only an answer of ours can have brought it, which takes a report if all is well.
+        """
+        machine.token += 1
+        machine.probe = machine.token
+        if machine.deaf_since is None:
+            machine.deaf_since = now
+            self.context.out.log("debug", "machine may be deaf", machine=machine.name)
+
+    def for_report(self, now: float, machine: Machine, report: wire.Report) -> list[wire.Command]:
+        """What the answer to a report tells the worker to do."""
+        if not self.context.entitled(now):
+            return []
+        commands: list[wire.Command] = []
+        raise_token = False
+        for placement in machine.tasks.values():
+            name = task_id(placement.job_id, placement.index)
+            if placement.state == wire.EXITED:
+                if not placement.stored or not placement.seen:
+                    continue
+                if placement.direct and placement.start_token >= report.token:
+                    # A repeat of the start could still arrive: pass it with a higher token first.
+                    raise_token = raise_token or machine.token <= placement.start_token
+                    continue
+                commands.append(wire.Command(wire.FORGET, name, placement.attempt))
+            elif placement.stop is not None and placement.seen:
+                stop = wire.Command(wire.STOP, name, placement.attempt, placement.stop)
+                commands.append(stop)
+                placement.stop_sent = now
+        if not machine.do_in_flight:
+            if raise_token:
+                machine.token += 1
+            commands += self._starts_for_report(now, machine, report)
+        return commands
+
+    def _starts_for_report(
+        self, now: float, machine: Machine, report: wire.Report
+    ) -> list[wire.Command]:
+        commands = []
+        for placement in machine.starts:
+            placement.sent_seq, placement.direct, placement.sent_at = report.seq, False, now
+            placement.start_token = machine.token
+            name = task_id(placement.job_id, placement.index)
+            commands.append(wire.Command(wire.START, name, placement.attempt))
+        machine.starts.clear()
+        return commands
+
+    def send(self, now: float, machine: Machine) -> None:
+        """Send starts and stops at once, one request at a time for each machine."""
+        if (
+            machine.do_in_flight
+            or not machine.address
+            or machine.session == 0
+            or now < max(machine.do_broken_until, machine.handed_until)
+            or not self.context.entitled(now)
+            or machine.releasing
+            # Beyond the sockets that are kept for this, orders go with answers to reports.
+            or self.directs >= self.most_directs
+        ):
+            return
+        stops = [
+            placement
+            for placement in machine.tasks.values()
+            if placement.active
+            and placement.seen
+            and placement.stop is not None
+            and placement.stop_sent == 0.0
+        ]
+        if stops or machine.starts:
+            self._direct(now, machine, stops, list(machine.starts))
+
+    def _direct(
+        self, now: float, machine: Machine, stops: list[Placement], starts: list[Placement]
+    ) -> None:
+        commands = []
+        for placement in stops:
+            placement.stop_sent = now
+            name = task_id(placement.job_id, placement.index)
+            commands.append(wire.Command(wire.STOP, name, placement.attempt, placement.stop))
+        for placement in starts:
+            placement.sent_at, placement.direct = now, True
+            placement.start_token = machine.token
+            name = task_id(placement.job_id, placement.index)
+            commands.append(wire.Command(wire.START, name, placement.attempt))
+        machine.starts.clear()
+        machine.do_in_flight = True
+        self.directs += 1
+        ordered = bool(commands)
+
+        def then(at: float, outcome: Outcome) -> None:
+            self._answered(at, outcome, machine, starts, ordered)
+
+        body = wire.encode(wire.Direct(machine.token, max(1, machine.session), commands))
+        timeout = self.timing.report_s / 2 + 0.25
+        self.context.out.calls.append(
+            Call("worker", "POST", wire.PATH_DO, then, body, timeout, machine.address)
+        )
+
+    def _answered(
+        self,
+        now: float,
+        outcome: Outcome,
+        machine: Machine,
+        starts: list[Placement],
+        ordered: bool,
+    ) -> None:
+        machine.do_in_flight = False
+        self.directs -= 1
+        if not self.state.over:
+            self.on_answer(now, outcome, machine, starts, ordered)
+
+    def probe(self, now: float) -> None:
+        """Ask machines taken over what they hold, without waiting for their reports.
+
+        Orders without commands bring a worker the new token, after which nothing of an earlier
+        commander can be carried out, and its answer names all that is there: as good a proof as a
+        report, and there within milliseconds. Until it is there, no older job may start.
+        """
+        for name in self.state.unsettled:
+            if self.directs >= self.most_directs:
+                break
+            machine = self.state.machines[name]
+            if (
+                machine.settled
+                or machine.do_in_flight
+                or machine.releasing
+                or not machine.address
+                or now < max(machine.next_probe, machine.handed_until)
+            ):
+                continue
+            machine.next_probe = now + self.timing.report_s
+            self._direct(now, machine, [], [])
--- /dev/null
+++ b/src/copperpass/core/scheduling/context.py
@@ -0,0 +1,93 @@
+"""What the parts of a pool's scheduler share and never change: collaborators, identity, times."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from copperpass import wire
+from copperpass.core import rental
+from copperpass.core.authority import GRANT_PER_TTL, certain_lease_s, times_of
+from copperpass.core.jobs import JobTable
+from copperpass.core.ports import Outbox
+from copperpass.core.transactions import TransactionQueue
+from copperpass.settings import Cluster
+from copperpass.tuning import Tuning
+
+# The images that each machine has, with their sizes; kept beyond a single ownership.
+Images = dict[str, "OrderedDict[str, float]"]
+
+
+def _never() -> float:
+    return float("-inf")
+
+
+@dataclass(frozen=True, slots=True)
+class SchedulerContext:
+    """What a scheduler is given for one ownership of a pool."""
+
+    cluster: Cluster
+    out: Outbox
+    transactions: TransactionQueue
+    jobs: JobTable
+    types: dict[str, wire.MachineType]
+    versions: dict[str, int]
+    # The pool that is scheduled, and the pool of each team.
+    pool: int
+    pools: dict[str, int]
+    epoch: int
+    serial: int
+    token_version: Callable[[], int]
+    # Whether the pool is still owned at a moment.
+    entitled: Callable[[float], bool]
+    tuning: Tuning = field(default_factory=Tuning)
+    images: Images = field(default_factory=dict)
+    # What was confirmed before this moment is in the view.
+    fresh_at: Callable[[], float] = _never
+
+    def is_mine(self, team: str) -> bool:
+        """Whether a team is of this pool; teams that are not known count as its own."""
+        return self.pools.get(team, self.pool) == self.pool
+
+
+@dataclass(slots=True)
+class Timing:
+    """Times in seconds that follow from the settings."""
+
+    report_s: float
+    # After this long without an answer a worker has certainly ended its tasks.
+    lease_s: float
+    # For how long an owner of the term before may still answer workers.
+    overlap_s: float
+    # A machine that hasn't been heard for this long gets no new tasks.
+    silence_s: float
+    # A worker that loses its way is back, over another node, after this long at most: to delete
+    # its machine sooner would cost its tasks.
+    lost_s: float
+    # The longest boot of any machine type.
+    boot_s: float
+    gang_notice_s: float
+    gang_wait_s: float
+
+    @classmethod
+    def of(cls, context: SchedulerContext) -> Timing:
+        """The times for one scheduler."""
+        cluster, workers = context.cluster, context.cluster.workers
+        report_s = workers.report_s
+        silence_s = context.tuning.silence_reports * report_s
+        # A leader of an older version that gives up, or comes back within a moment, ends its key
+        # before its grants: an owner of that term that hasn't seen it may answer workers for as
+        # long as a grant.
+        parted = len(set(context.pools.values())) > 1
+        rerouted_s = 1.25 * report_s + wire.REPORT_WAIT_S + 3 * wire.NEXT_NODE_S
+        return cls(
+            report_s=report_s,
+            lease_s=certain_lease_s(cluster),
+            overlap_s=GRANT_PER_TTL * times_of(cluster).ttl if parted else 0.0,
+            silence_s=silence_s,
+            lost_s=max(1.5 * silence_s, rerouted_s),
+            boot_s=rental.longest_boot(context.types),
+            gang_notice_s=workers.gang_notice_s,
+            gang_wait_s=workers.gang_wait_s or 2 * workers.lease_s,
+        )
--- /dev/null
+++ b/src/copperpass/core/scheduling/demand.py
@@ -0,0 +1,141 @@
+"""What the pool's teams use, may start, claim, and want machines for."""
+
+from __future__ import annotations
+
+from copperpass.core import allocation, dispatch, rental
+from copperpass.core.fleet import allows, type_fits
+from copperpass.core.jobs import EPS, Job
+from copperpass.core.scheduling.context import SchedulerContext
+from copperpass.core.scheduling.reservations import Reservations
+from copperpass.core.scheduling.state import PoolState
+from copperpass.core.scheduling.task_reports import FAILED_MACHINES
+
+# The least weight of a team in the allocation.
+LEAST_WEIGHT = 1e-3
+
+
+class Demand:
+    """Answers what jobs may start, what teams take, and which tasks need machines."""
+
+    def __init__(
+        self, context: SchedulerContext, state: PoolState, reservations: Reservations
+    ) -> None:
+        self.state, self.reservations = state, reservations
+        self.types, self.machines = context.types, state.machines
+        self.gpus_matter = context.cluster.gpus_matter
+        # Jobs in need of machines that may only run in the zone where others of their tasks are.
+        self.ties: dict[str, str] = {}
+
+    def wants(self, now: float) -> list[tuple[str, int, float]]:
+        """Tasks that the machines have no room for in time: job, count, seconds left."""
+        state, timing = self.state, self.state.timing
+        waiting = [job for job in state.own_jobs() if job.waiting() > 0]
+        if not waiting:
+            return []
+        rooms = rental.rooms_of(self.machines.values(), now, timing.silence_s)
+        unmet = []
+        self.ties.clear()
+        taken = {team: state.tally.of(team)[0] for team in state.by_team}
+        for job in dispatch.task_order(waiting, state.aims, now, timing.boot_s / 2):
+            # Tasks that may be running where we have not looked yet need no machines.
+            if not self.startable(job, now):
+                continue
+            count = self._count_under_limit(job, taken)
+            if count is None:
+                continue
+            horizon = max(0.0, state.aims.needed(job, now) - now)
+            if job.spec.gang and job.placed:
+                # The rest of a gang waits for it: what they take isn't free before.
+                horizon = 0.0
+            where = (self.machines[m].zone for m in job.placed.values() if m in self.machines)
+            spec = rental.tied(job.spec, where)
+            if spec.one_zone and spec.zone is not None:
+                self.ties[spec.id] = spec.zone
+            fill = rental.fill_gang if spec.gang else rental.fill
+            closed = self.reservations.scarce.closed_to(spec)
+            left = fill(rooms, spec, count, horizon, closed)
+            if left > 0:
+                unmet.append((spec.id, left, horizon))
+        return unmet
+
+    def _count_under_limit(self, job: Job, taken: dict[str, float]) -> int | None:
+        """How many tasks of a job may want machines under its team's limit; adds to `taken`.
+
+        None: the limit has no room for the whole of a gang, so it needs no machines.
+        """
+        spec, count = job.spec, job.waiting()
+        room = self.state.by_team[spec.team].cpus_max - taken[spec.team]
+        if len(job.failed_on) >= FAILED_MACHINES and not spec.gang:
+            # Probably it has a mistake; but it must find room to try again while it is wanted.
+            count = 1
+        taken[spec.team] += count * spec.cpus
+        if spec.cpus > 0:
+            under = max(0, int(room / spec.cpus + EPS))
+            if spec.gang and under < count:
+                return None
+            count = min(count, under)
+        return count
+
+    def usage(self) -> dict[str, tuple[float, float]]:
+        """CPUs and GPUs that each team's tasks take or may take."""
+        state, types = self.state, self.types
+        unidentified = [0.0, 0.0]
+        for name in state.unsettled | state.tally.unidentified:
+            # What is there is not known: count all that could be, against every team.
+            cpus, gpus, _ = self.machines[name].room()
+            unidentified[0] += max(0.0, cpus)
+            unidentified[1] += max(0.0, gpus)
+        for kind, _, _ in state.elsewhere.values():
+            if kind in types:
+                unidentified[0] += types[kind].cpus
+                unidentified[1] += types[kind].gpus
+        used = {team.name: state.tally.of(team.name) for team in state.teams}
+        return {name: (u[0] + unidentified[0], u[1] + unidentified[1]) for name, u in used.items()}
+
+    def startable(self, job: Job, now: float) -> bool:
+        """Whether tasks of a job may be started, room or not."""
+        state = self.state
+        if now < job.hold_until or job.ending or job.announce_cancelled:
+            return False
+        if job.created > state.revision or not (state.unsettled or state.elsewhere):
+            return True
+        # Tasks of a job from before our time may still run where we have not looked yet, but only
+        # on machines that the job allows and that can hold one of its tasks.
+        types = self.types
+        return not any(
+            kind not in types
+            or (allows(job.spec, types[kind], zone, spot) and type_fits(job.spec, types[kind]))
+            for kind, zone, spot in self._unseen()
+        )
+
+    def _unseen(self) -> set[tuple[str, str, bool]]:
+        """The kinds of machines that may hold tasks which we have not seen."""
+        unseen = set(self.state.elsewhere.values())
+        for name in self.state.unsettled:
+            machine = self.machines[name]
+            unseen.add((machine.type.name, machine.zone, machine.spot))
+        return unseen
+
+    def claims(self) -> list[allocation.Claim]:
+        """What each team with work claims of the machines, by its latest tasks."""
+        claims = []
+        demand: dict[str, int] = {}
+        for job in self.state.own_jobs():
+            waiting = job.waiting() + len(job.placed)
+            demand[job.spec.team] = demand.get(job.spec.team, 0) + waiting
+        for team in self.state.teams:
+            recent = self.state.recent[team.name]
+            if not recent or not demand.get(team.name):
+                continue
+            count = len(recent)
+            cpus = sum(r[0] for r in recent) / count
+            gpus = sum(r[1] for r in recent) / count
+            memory = sum(r[2] for r in recent) / count
+            cap = float(demand[team.name])
+            if cpus > 0:
+                cap = min(cap, team.cpus_max / cpus)
+            weight = team.gpus if self.gpus_matter and team.gpus > 0 else team.cpus
+            second = gpus if self.gpus_matter else memory
+            weight = max(weight, LEAST_WEIGHT)
+            claims.append(allocation.Claim(team.name, (cpus, second), weight, cap))
+        return claims
--- /dev/null
+++ b/src/copperpass/core/scheduling/dispatch_round.py
@@ -0,0 +1,279 @@
+"""The dispatch round: which waiting tasks start now, and where.
+
+Teams take turns by what their allocation leaves them, a team's jobs by urgency, machines by fit.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from copperpass.core import allocation, dispatch
+from copperpass.core.fleet import Machine
+from copperpass.core.jobs import Job, fits
+from copperpass.core.scheduling.commands import Commands
+from copperpass.core.scheduling.context import SchedulerContext
+from copperpass.core.scheduling.demand import Demand
+from copperpass.core.scheduling.gangs import GangPlacer
+from copperpass.core.scheduling.preemption import Preemption
+from copperpass.core.scheduling.reservations import Reservations
+from copperpass.core.scheduling.state import PoolState
+from copperpass.core.scheduling.tasks import TaskLifecycle
+
+# The part of a pool's room that overdue work gets before work that can still be in time.
+LATE_PART = 0.5
+# A task is large if it takes as many times the CPUs of the smallest one about.
+LARGE_FACTOR = 4
+# The time to the next round: at least, and for each job that waits.
+LEAST_PAUSE_S, PAUSE_PER_JOB_S = 0.01, 0.002
+# A team without an allocation comes after all that have one.
+NO_ALLOCATION = 1e3
+# Stands for gangs among the teams that room is held for.
+GANGS = "gang"
+
+
+class Dispatcher:
+    """Runs dispatch rounds, and keeps what passes from one to the next."""
+
+    def __init__(
+        self,
+        context: SchedulerContext,
+        state: PoolState,
+        commands: Commands,
+        tasks: TaskLifecycle,
+        reservations: Reservations,
+        demand: Demand,
+        gangs: GangPlacer,
+        preemption: Preemption,
+        now: float,
+    ) -> None:
+        self.state, self.commands, self.tasks = state, commands, tasks
+        self.reservations, self.demand, self.gangs = reservations, demand, gangs
+        self.preemption, self.tuning = preemption, context.tuning
+        self.allocations: allocation.Allocation | None = None
+        # Jobs that found no room in the latest round and are due before a machine would boot.
+        self.urgent: set[str] = set()
+        self.next_round = now
+
+    def round(self, now: float) -> None:
+        """Start what can be started."""
+        state = self.state
+        state.dirty = False
+        jobs = state.own_jobs()
+        self.reservations.scarce.note(now, jobs)
+        if all(job.waiting() <= 0 for job in jobs):
+            # Most reports of a quiet hour change nothing that could be started.
+            state.needs_machines, self.urgent = False, set()
+            self.next_round = now + LEAST_PAUSE_S
+            return
+        silence_s = state.timing.silence_s
+        usable = [m for m in state.machines.values() if m.usable(now, silence_s)]
+        capacity = self._capacity(usable)
+        self.allocations = allocation.allocate(self.demand.claims(), capacity)
+        current = Round(self, now, jobs, usable, LATE_PART * capacity[0])
+        self.reservations.keep_ordinary(now, jobs, usable)
+        current.place_all()
+        for machine in {m.name: m for m in current.log}.values():
+            self.commands.send(now, machine)
+        self._note_urgent(now, current.stuck)
+        if current.stuck and self.tuning.preemption:
+            self.preemption.preempt(now, current.stuck, usable, current.used)
+        # The next round comes sooner when idle and later under load: a batch widens with it.
+        most = state.timing.report_s / 4
+        self.next_round = now + min(most, LEAST_PAUSE_S + PAUSE_PER_JOB_S * current.backlog)
+
+    def _capacity(self, usable: list[Machine]) -> tuple[float, float]:
+        """CPUs, and the second resource that the allocation is about."""
+        gpus_matter = self.demand.gpus_matter
+        return (
+            sum(m.type.cpus for m in usable),
+            sum(m.type.gpus if gpus_matter else m.type.memory_gb for m in usable),
+        )
+
+    def _note_urgent(self, now: float, stuck: Iterable[Job]) -> None:
+        """Have the leader told at once of jobs that have become urgent."""
+        aims, boot_s = self.state.aims, self.state.timing.boot_s
+        urgent = {job.spec.id for job in stuck if aims.due(job, now) - now < boot_s}
+        self.state.needs_machines = bool(urgent - self.urgent)
+        self.urgent = urgent
+
+
+class Round:
+    """One dispatch round: the queues, what teams use, and what has been started so far."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        now: float,
+        jobs: list[Job],
+        usable: list[Machine],
+        late_quota: float,
+    ) -> None:
+        self.now, self.usable, self.late_quota = now, usable, late_quota
+        self.state, self.tasks = dispatcher.state, dispatcher.tasks
+        self.reservations, self.gangs = dispatcher.reservations, dispatcher.gangs
+        self.tuning, self.aims = dispatcher.tuning, dispatcher.state.aims
+        self.boot_s = dispatcher.state.timing.boot_s
+        self.targets = dispatcher.allocations.tasks if dispatcher.allocations else {}
+        self.used = dispatcher.demand.usage()
+        self._fill_queues(dispatcher.demand, jobs)
+        self.smallest = min((j.spec.cpus for j in jobs if j.spec.cpus > 0), default=0.0)
+        self.roomy = [m for m in usable if fits(self.smallest, m.type.cpus - m.used_cpus)]
+        # What a gang waits for under its team's limit: when it came, CPUs and GPUs.
+        self.quota: dict[str, tuple[float, float, float]] = {}
+        # For whom a large gap has been held in this round: teams, or `GANGS`.
+        self.holding: set[str] = set()
+        # Jobs that room is held for, by stopping tasks or for want of a large gap.
+        self.held = {m.held_for for m in usable if now < m.held_until}
+        # Jobs that found no room.
+        self.stuck: list[Job] = []
+        # Where tasks have been started, in order.
+        self.log: list[Machine] = []
+        self.rankings: dict[str, dispatch.Ranking] = {}
+        # Shapes that found no room: it only shrinks within a round.
+        self.full: set[tuple[object, ...]] = set()
+
+    def _fill_queues(self, demand: Demand, jobs: list[Job]) -> None:
+        """Queue each team's jobs that may start, by urgency, and count its tasks."""
+        now, aims, teams = self.now, self.aims, self.state.teams
+        dispatch.judge_guarantees(jobs, {team.name: team.cpus for team in teams})
+        self.running = {team.name: 0 for team in teams}
+        queues: dict[str, list[Job]] = {team.name: [] for team in teams}
+        for job in jobs:
+            name = job.spec.team
+            self.running[name] = self.running.get(name, 0) + len(job.placed)
+            if job.waiting() > 0 and demand.startable(job, now):
+                queues.setdefault(name, []).append(job)
+        self.backlog = sum(len(queue) for queue in queues.values())
+        bonus = self.boot_s / 2
+        self.queues = {
+            name: dispatch.task_order(queue, aims, now, bonus) for name, queue in queues.items()
+        }
+        self.late_used = sum(
+            len(job.placed) * job.spec.cpus for job in jobs if aims.overdue(job, now)
+        )
+        for queue in self.queues.values():
+            dispatch.share_late(queue, aims, now, self.late_used, self.late_quota)
+
+    def place_all(self) -> None:
+        """Start tasks until no queue has one that finds room."""
+        while self.usable:
+            names = [name for name, queue in self.queues.items() if queue]
+            if not names:
+                break
+            name = min(names, key=lambda team: (self._part_used(team), team))
+            job = self.queues[name][0]
+            if job.spec.gang:
+                self._place_gang(name, job)
+            else:
+                self._place_task(name, job)
+
+    def _part_used(self, team: str) -> float:
+        """How much of its allocation a team's tasks take; the least goes first."""
+        target = self.targets.get(team, 0.0)
+        running = self.running[team]
+        return running / target if target > 0 else float(running) + NO_ALLOCATION
+
+    def _count(self, name: str, job: Job, tasks: int) -> None:
+        """Count started tasks against their team."""
+        spec, used = job.spec, self.used[name]
+        self.used[name] = (used[0] + tasks * spec.cpus, used[1] + tasks * spec.gpus)
+        self.running[name] += tasks
+
+    def _place_gang(self, name: str, job: Job) -> None:
+        """Start a gang whole, or see that it finds room later."""
+        now, spec = self.now, job.spec
+        self.queues[name].pop(0)
+        placed = self.gangs.place(now, job, self.roomy, self.used[name], self.log)
+        if placed:
+            self.log += placed
+            self._count(name, job, len(placed))
+        elif placed is None:
+            if name not in self.quota and self.aims.due(job, now) - now < self.boot_s:
+                # Tasks of the team that come after it would take each gap under the limit.
+                missing = len(job.missing())
+                self.quota[name] = (job.arrived, missing * spec.cpus, missing * spec.gpus)
+        else:
+            self.stuck.append(job)
+            if GANGS not in self.holding:
+                # As in the design: freed room is held for one gang at a time.
+                self.holding.add(GANGS)
+                self.held |= self.gangs.hold_room(now, job, self.usable)
+
+    def _place_task(self, name: str, job: Job) -> None:
+        """Start the next task of a job, or take the job off its queue."""
+        index = job.peek()
+        if index is None:
+            self.queues[name].pop(0)
+            return
+        now = self.now
+        left_out = self.reservations.left_out(job, now)
+        if self._over_limit(name, job, left_out):
+            self.queues[name].pop(0)
+            return
+        # Work that can wait does so for cheap room; dear room is for what can't.
+        slack = self.aims.due(job, now) - now
+        can_wait = slack > self.tuning.patient_boots * self.boot_s and not left_out
+        machine = self._find_machine(job, slack, can_wait, left_out)
+        if machine is None:
+            self.queues[name].pop(0)
+            self.stuck.append(job)
+            self._hold_room(name, job, can_wait)
+            return
+        self.tasks.start(now, job, index, machine)
+        if left_out:
+            # Its first task has room; for the rest what is kept for others is closed again.
+            del self.rankings[job.spec.id]
+        if self.late_used < self.late_quota and self.aims.overdue(job, now):
+            self.late_used += job.spec.cpus
+            queue = self.queues[name]
+            dispatch.share_late(queue, self.aims, now, self.late_used, self.late_quota)
+        self.log.append(machine)
+        self._count(name, job, 1)
+
+    def _over_limit(self, name: str, job: Job, left_out: bool) -> bool:
+        """Whether one more task would exceed the team's limit, less what a gang waits for."""
+        spec, team, used = job.spec, self.state.by_team[name], self.used[name]
+        since, cpus, gpus = self.quota.get(name, (0.0, 0.0, 0.0))
+        if job.arrived <= since or left_out:
+            # What has waited for longer isn't held up: neither starves the other.
+            cpus = gpus = 0.0
+        return not fits(used[0] + cpus + spec.cpus, team.cpus_max) or not fits(
+            used[1] + gpus + spec.gpus, team.gpus_max
+        )
+
+    def _find_machine(
+        self, job: Job, slack: float, can_wait: bool, left_out: bool
+    ) -> Machine | None:
+        """The best machine for the job's next task."""
+        spec = job.spec
+        patient = self.state.dear_excess and spec.spot and can_wait
+        shape = None
+        if not (spec.types or spec.zone or spec.one_zone or spec.spread or spec.id in self.held):
+            shape = (spec.cpus, spec.gpus, spec.memory_gb, spec.spot, patient, left_out)
+        if shape in self.full:
+            return None
+        ranking = self.rankings.get(spec.id)
+        if ranking is None:
+            policy = self.reservations.policy(job, left_out, patient, slack < self.boot_s)
+            ranking = self.rankings[spec.id] = dispatch.Ranking(
+                job, self.roomy, self.state.machines, self.now, policy, len(self.log)
+            )
+        machine = ranking.best(self.log)
+        if machine is None and shape is not None:
+            self.full.add(shape)
+        return machine
+
+    def _hold_room(self, name: str, job: Job, can_wait: bool) -> None:
+        """Hold freed room for a large task, for one of them a team at a time, as with gangs.
+
+        A large task never finds room among small ones that take each gap.
+        """
+        spec, now = job.spec, self.now
+        if name in self.holding or can_wait or spec.cpus < LARGE_FACTOR * self.smallest:
+            return
+        self.holding.add(name)
+        machine = dispatch.machine_to_hold(job, self.usable, self.state.machines, now)
+        if machine is not None:
+            machine.held_for, machine.held_until = spec.id, now + self.state.timing.report_s
+            machine.held_ready = 0.0
+            self.held.add(spec.id)
--- /dev/null
+++ b/src/copperpass/core/scheduling/gangs.py
@@ -0,0 +1,145 @@
+"""Gangs: what reports of their tasks mean, where they are placed, and the room held for them."""
+
+from __future__ import annotations
+
+from copperpass import wire
+from copperpass.core import dispatch
+from copperpass.core.fleet import Machine, Placement
+from copperpass.core.jobs import Job, fits
+from copperpass.core.scheduling.reservations import Reservations
+from copperpass.core.scheduling.state import PoolState
+from copperpass.core.scheduling.tasks import TaskLifecycle
+
+
+class GangMonitor:
+    """Judges the attempts of gangs by what is reported of their tasks."""
+
+    def __init__(self, state: PoolState, tasks: TaskLifecycle) -> None:
+        self.state, self.tasks = state, tasks
+
+    def seen(self, now: float, job: Job, placement: Placement) -> None:
+        """A task of a gang is reported as active."""
+        if not job.attempt and not job.ending:
+            # Taken over from an earlier owner: what is missing joins its attempt.
+            job.attempt = placement.attempt
+        if placement.attempt != job.attempt:
+            # Of another attempt, which only a leftover can be: neither may be added to.
+            self.tasks.end_gang(now, job, "two attempts", 0.0)
+        elif placement.state in (wire.TASK_RUNNING, wire.SAVING):
+            job.begun = True
+
+    def exited(self, now: float, job: Job, placement: Placement) -> None:
+        """A task of a gang has ended without being done."""
+        if job.ended():
+            return
+        if placement.attempt == job.attempt and not job.ending:
+            refused = placement.why in (wire.WHY_NO_ROOM, wire.WHY_BUSY, wire.WHY_UNKNOWN)
+            waiting = not job.begun and (
+                refused
+                or placement.stop is not None
+                or (placement.why == wire.WHY_ERROR and not placement.running_at)
+            )
+            if not waiting:
+                # Whatever the rest does now, it can't complete under this attempt.
+                self.tasks.end_gang(now, job, placement.why, 0.0)
+        job.settle_gang()
+
+    def reached(self, now: float, job: Job) -> bool:
+        """Whether all tasks of a gang can be told to stop within the time that saving takes."""
+        for name in job.placed.values():
+            machine = self.state.machines.get(name)
+            if (
+                machine is None
+                or machine.deaf_since is not None
+                or (
+                    now - machine.last_report
+                    > min(self.state.timing.silence_s, self.state.timing.gang_notice_s)
+                )
+            ):
+                return False
+        return True
+
+
+class GangPlacer:
+    """Starts gangs whole, and holds the room where one can start soonest."""
+
+    def __init__(self, state: PoolState, tasks: TaskLifecycle, reservations: Reservations) -> None:
+        self.state, self.tasks, self.reservations = state, tasks, reservations
+        self.machines = state.machines
+
+    def place(
+        self,
+        now: float,
+        job: Job,
+        roomy: list[Machine],
+        used: tuple[float, float],
+        log: list[Machine],
+    ) -> list[Machine] | None:
+        """Start all missing tasks of a gang or none; None: the team's limit has no room for it."""
+        spec, count = job.spec, len(job.missing())
+        team = self.state.by_team[spec.team]
+        if not fits(used[0] + count * spec.cpus, team.cpus_max) or not fits(
+            used[1] + count * spec.gpus, team.gpus_max
+        ):
+            return None
+        if self._earlier_attempt_left(job):
+            return None
+        reservations = self.reservations
+        policy = reservations.policy(
+            job, reservations.left_out(job, now), spot_only=False, urgent=True
+        )
+        ranking = dispatch.Ranking(job, roomy, self.machines, now, policy, len(log))
+        plan = dispatch.plan_gang(ranking, self.machines)
+        if plan is None:
+            self._no_room(now, job)
+            return []
+        job.short_since = None
+        if not job.attempt:
+            job.attempt = self.tasks.new_attempt(job)
+        for index, machine in plan.places:
+            self.tasks.start(now, job, index, machine)
+        return [machine for _, machine in plan.places]
+
+    def _earlier_attempt_left(self, job: Job) -> bool:
+        """Whether a task of an earlier attempt is not proven gone."""
+        job_id, machines = job.spec.id, self.machines
+        return any(
+            placement.active and placement.job_id == job_id and placement.attempt != job.attempt
+            for name in self.state.where.get(job_id, ())
+            if name in machines
+            for placement in machines[name].tasks.values()
+        )
+
+    def _no_room(self, now: float, job: Job) -> None:
+        """End an attempt of which some tasks wait for the rest, which has no room in their zone.
+
+        Better all anew than to hold machines until they give up.
+        """
+        if not job.placed:
+            return
+        job.short_since = now if job.short_since is None else job.short_since
+        if now - job.short_since > self.state.timing.gang_wait_s / 2:
+            self.tasks.end_gang(now, job, "no room for the rest", 0.0)
+
+    def hold_room(self, now: float, job: Job, usable: list[Machine]) -> set[str]:
+        """Hold the room where a gang can start soonest; returns whom room is held for."""
+        state, report_s = self.state, self.state.timing.report_s
+        found = dispatch.gang_hold(job, usable, self.machines, now, self.reservations.kept)
+        if found is None:
+            return set()
+        for machine in found[0]:
+            # Not to be given back while a gang waits for the rest of its room, however long:
+            # machines that come one by one and go back as idle never add up to its zone's part.
+            machine.wanted_until = now + report_s
+        late = now - job.arrived > self.reservations.tuning.patience_s
+        if (late and not found[2]) or (
+            state.aims.due(job, now) - now
+            > self.reservations.tuning.patient_boots * state.timing.boot_s
+        ):
+            # What comes last holds nothing up; and a part of a gang's room is no use to anybody
+            # for as long as it is held, so that has a bound.
+            return set()
+        for machine in found[0]:
+            machine.held_for, machine.held_until = job.spec.id, now + report_s
+            machine.held_ready = found[1]
+        return {job.spec.id}
--- /dev/null
+++ b/src/copperpass/core/scheduling/job_results.py
@@ -0,0 +1,83 @@
+"""Ends of tasks and jobs: stored in the state service, and what follows when a job is over."""
+
+from __future__ import annotations
+
+from copperpass import wire
+from copperpass.core.completions import CompletionStore
+from copperpass.core.jobs import LIVE, OVER, Job
+from copperpass.core.scheduling.context import SchedulerContext
+from copperpass.core.scheduling.state import PoolState
+from copperpass.core.scheduling.tasks import TaskLifecycle
+from copperpass.core.transactions import APPLIED, Op
+
+# The part of the limits of a record that is used, which leaves room for what is estimated.
+USED_PART = 0.8
+# Ends are gathered for the time that as many writes take.
+GATHERED_WRITES = 4
+
+
+class JobResults:
+    """Stores ends; the last end of a job makes it done."""
+
+    def __init__(self, context: SchedulerContext, state: PoolState, tasks: TaskLifecycle) -> None:
+        self.context, self.state, self.tasks = context, state, tasks
+        cluster, limits = context.cluster, context.cluster.state
+        self.completions = CompletionStore(
+            context.jobs,
+            context.transactions,
+            context.token_version,
+            context.versions,
+            context.pool,
+            USED_PART * limits.least_value_bytes,
+            max(state.timing.report_s / 2, GATHERED_WRITES / limits.least_write_rps),
+            cluster.workers.lease_s,
+            USED_PART * limits.value_kb * 1024,
+        )
+
+    def store(self, now: float, job: Job) -> None:
+        """Store ends: the last makes the job done at once, the others are gathered."""
+        if job.storing:
+            return
+        if not job.ended():
+            if job.finished:
+                self.completions.note(now, job)
+            return
+        job.storing = True
+        key = LIVE + job.spec.id
+        final = {"final": wire.DONE, "count": job.spec.tasks}
+
+        def then(at: float, how: str, revision: int) -> None:
+            job.storing = False
+            if how == APPLIED:
+                job.version = max(job.version, revision)
+                job.stored(list(job.finished))
+                self.context.jobs.jobs.pop(job.spec.id, None)
+                self.job_ended(at, job)
+            # On a conflict the watch brings the newer record; the next scan tries again.
+
+        writes = [wire.remove(key), wire.put(OVER + job.spec.id, final)]
+        deadline = now + 2 * self.state.timing.lease_s
+        operation = Op({key: job.version}, writes, then, deadline)
+        self.context.transactions.submit(now, operation)
+
+    def store_outstanding(self, now: float) -> None:
+        """Store all ends that are not stored, nor being stored."""
+        for job in self.state.own_jobs():
+            # Also a job all of whose ends an earlier owner stored without ending it.
+            if (job.finished or job.ended()) and not job.storing:
+                self.store(now, job)
+
+    def job_ended(self, now: float, job: Job) -> None:
+        """The job's record is gone: nothing of it may start, and all of it must go."""
+        if not self.context.is_mine(job.spec.team):
+            return
+        self.completions.over(job)
+        self.tasks.stop_all(now, job, "job over")
+        self.state.where.pop(job.spec.id, None)
+        self.state.dirty = True
+
+    def mark_cancelled(self, now: float, job: Job) -> None:
+        """A job's cancellation is stored, whatever the view shows: its tasks go, none starts."""
+        if self.context.is_mine(job.spec.team):
+            self.tasks.stop_all(now, job, "called off")
+            self.state.dirty = True
--- /dev/null
+++ b/src/copperpass/core/scheduling/ownership.py
@@ -0,0 +1,161 @@
+"""Which machines are the pool's: learnt from the leader's table, given back, and told of."""
+
+from __future__ import annotations
+
+from copperpass.core.directory import ANYBODY, EMPTY, Contact, Entry, Status
+from copperpass.core.fleet import Machine
+from copperpass.core.scheduling.commands import Commands
+from copperpass.core.scheduling.context import SchedulerContext
+from copperpass.core.scheduling.state import PoolState
+from copperpass.core.scheduling.tasks import TaskLifecycle
+
+
+class Ownership:
+    """Follows the leader's table of machines, and tells the leader what they have shown."""
+
+    def __init__(
+        self,
+        context: SchedulerContext,
+        state: PoolState,
+        commands: Commands,
+        tasks: TaskLifecycle,
+    ) -> None:
+        self.context, self.state, self.commands, self.tasks = context, state, commands, tasks
+        self.machines = state.machines
+
+    def learn(self, now: float, entry: Entry) -> None:
+        """The leader's table has an entry for a machine."""
+        state, name = self.state, entry.name
+        machine = self.machines.get(name)
+        told = state.given.get(name)
+        if told is not None and (entry.base != told.base or entry.gone):
+            del state.given[name]
+        if entry.pool != self.context.pool or entry.gone:
+            self._learn_not_ours(now, entry, machine)
+            return
+        state.elsewhere.pop(name, None)
+        if machine is not None and entry.base > machine.base and not state.ready:
+            self._forget(now, machine)
+            machine = None
+        if machine is None and name not in state.given:
+            machine = self._add(now, entry)
+        if machine is None:
+            return
+        if entry.recorded and not machine.recorded:
+            machine.recorded, state.dirty = True, True
+        if entry.failed and not machine.failed:
+            # It has stopped on its own: nothing runs there any more.
+            machine.failed = True
+            state.unsettled.discard(name)
+            self.tasks.session_over(now, machine)
+        if entry.back:
+            self._give_back(now, machine, entry.vacate)
+
+    def _learn_not_ours(self, now: float, entry: Entry, machine: Machine | None) -> None:
+        """The machine is another pool's, or gone."""
+        if entry.gone and machine is not None:
+            self._gone(now, machine)
+        other_pool = entry.pool != self.context.pool and not entry.gone
+        if entry.may_hold == ANYBODY and other_pool and not entry.failed:
+            self.state.elsewhere[entry.name] = (entry.type, entry.zone, entry.spot)
+        elif self.state.elsewhere.pop(entry.name, None) is not None:
+            self.state.dirty = True
+
+    def _forget(self, now: float, machine: Machine) -> None:
+        """Drop what was known of a machine under an earlier ownership.
+
+        The share came before the table: under that token the machine would not be heard ever again.
+        """
+        for placement in list(machine.tasks.values()):
+            self.tasks.remove(now, machine, placement)
+        self.state.tally.drop(machine)
+        self.state.unsettled.discard(machine.name)
+        del self.machines[machine.name]
+
+    def _add(self, now: float, entry: Entry) -> Machine | None:
+        machine_type = self.context.types.get(entry.type)
+        if machine_type is None:
+            return None
+        machine = Machine(entry.name, machine_type, entry.zone, entry.spot, entry.base)
+        machine.token = entry.base
+        machine.idle_since = now
+        machine.recorded = entry.recorded
+        machine.images = self.context.images.setdefault(entry.name, machine.images)
+        self.machines[entry.name] = machine
+        self.state.dirty = True
+        if entry.contact is not None:
+            machine.address, machine.session = entry.contact.address, entry.contact.session
+        if entry.proven and entry.contact is not None:
+            # It can be commanded at once.
+            machine.seq = entry.contact.seq
+            machine.settled = machine.up = True
+            machine.up_at = machine.last_report = machine.last_answer = now
+        elif entry.recorded and entry.may_hold != EMPTY:
+            # An earlier commander may have answered the worker up to this moment, or may yet.
+            machine.last_answer = now + self.state.timing.overlap_s
+            self.state.unsettled.add(entry.name)
+        return machine
+
+    def _give_back(self, now: float, machine: Machine, vacate: bool) -> None:
+        """The leader wants a machine for others: give it back if it is proven empty."""
+        if self.state.give_back_if_empty(machine) or not vacate:
+            return
+        machine.vacating = True
+        for placement in list(machine.starts):
+            self.tasks.remove(now, machine, placement)
+        for placement in list(machine.tasks.values()):
+            if placement.active and placement.stop is None:
+                self.tasks.stop(now, placement, "reclaimed")
+        self.commands.send(now, machine)
+
+    def _gone(self, now: float, machine: Machine) -> None:
+        """The cloud has confirmed: the machine and all on it are gone."""
+        machine.vacating = False
+        self.state.unsettled.discard(machine.name)
+        self.tasks.session_over(now, machine)
+        self.state.tally.drop(machine)
+        self.machines.pop(machine.name, None)
+        self.context.images.pop(machine.name, None)
+
+    def statuses(self, now: float) -> list[Status]:
+        """What the leader should know of the machines and has not been told."""
+        told = list(self.state.given.values())
+        for machine in self.machines.values():
+            # What is held for somebody must not be taken for idle and given back.
+            idle = (
+                machine.up and machine.recorded and machine.empty() and now >= machine.wanted_until
+            )
+            settled = machine.settled and not machine.foreign
+            if self._is_news(machine, idle, settled):
+                machine.told_session = machine.session
+                machine.told = self._status(machine, idle, settled)
+                told.append(machine.told)
+        return told
+
+    @staticmethod
+    def _is_news(machine: Machine, idle: bool, settled: bool) -> bool:
+        last = machine.told
+        return (
+            last is None
+            or last.base != machine.base
+            or last.up != machine.up
+            or last.idle != idle
+            or last.settled != settled
+            or last.release != machine.releasing
+            or last.used_cpus != machine.used_cpus
+            or machine.told_session != machine.session
+        )
+
+    @staticmethod
+    def _status(machine: Machine, idle: bool, settled: bool) -> Status:
+        known = machine.address and machine.up
+        return Status(
+            machine.name,
+            machine.base,
+            machine.up,
+            settled,
+            idle,
+            release=machine.releasing,
+            used_cpus=machine.used_cpus,
+            contact=Contact(machine.address, machine.session, 0) if known else None,
+        )
--- /dev/null
+++ b/src/copperpass/core/scheduling/preemption.py
@@ -0,0 +1,122 @@
+"""Tasks that are stopped so that others, which would miss their aim, find room."""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import dataclass
+
+from copperpass import wire
+from copperpass.core import dispatch
+from copperpass.core.fleet import NO_PRIORITY, Machine, Placement, zone_allows
+from copperpass.core.jobs import Job, fits
+from copperpass.core.scheduling.commands import Commands
+from copperpass.core.scheduling.context import SchedulerContext
+from copperpass.core.scheduling.state import PoolState
+from copperpass.core.scheduling.tasks import TaskLifecycle
+
+# Room is freed for as many tasks of a job at a time.
+MOST_AT_ONCE = 8
+# A machine whose tasks are stopped is held for the job for as many reports.
+HELD_REPORTS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Claimant:
+    """A job that may have tasks of others stopped."""
+
+    job: Job
+    # Its team is under its guarantee, so it may take back what others have borrowed.
+    under_guarantee: bool
+
+
+class Preemption:
+    """Stops work of lower priority, or in borrowed room."""
+
+    def __init__(
+        self,
+        context: SchedulerContext,
+        state: PoolState,
+        commands: Commands,
+        tasks: TaskLifecycle,
+    ) -> None:
+        self.jobs, self.state, self.commands, self.tasks = context.jobs, state, commands, tasks
+
+    def preempt(
+        self,
+        now: float,
+        stuck: list[Job],
+        usable: list[Machine],
+        used: dict[str, tuple[float, float]],
+    ) -> None:
+        """Stop work of lower priority, or borrowed room, for tasks that would miss their aim."""
+        state = self.state
+        over = {team.name for team in state.teams if used[team.name][0] > team.cpus + 1e-6}
+        stopping: int | None = None
+        lowest = min((machine.lowest for machine in usable), default=NO_PRIORITY)
+        for job in stuck:
+            spec = job.spec
+            if state.aims.due(job, now) - now > state.timing.boot_s:
+                continue
+            under = (
+                bool(over - {spec.team})
+                and state.aims.guarantee is not None
+                and fits(used[spec.team][0] + spec.cpus, state.by_team[spec.team].cpus)
+            )
+            if lowest >= wire.PRIORITIES[spec.priority] and not under:
+                continue
+            if stopping is None:
+                stopping = self._count_stopping()
+            budget = (1 if spec.gang else min(job.waiting(), MOST_AT_ONCE)) - stopping
+            if budget > 0:
+                claimant = Claimant(job, under)
+                stopping += self._make_room(now, claimant, usable, over, budget)
+
+    def _count_stopping(self) -> int:
+        return sum(
+            1
+            for machine in self.state.machines.values()
+            for placement in machine.tasks.values()
+            if placement.active
+            and placement.stop is not None
+            and placement.stopping_for == "preempted"
+        )
+
+    def _make_room(
+        self,
+        now: float,
+        claimant: Claimant,
+        usable: list[Machine],
+        over: set[str],
+        budget: int,
+    ) -> int:
+        """Stop tasks on up to `budget` machines, where the least is lost; returns how many."""
+        stopped = 0
+        found = self._candidates(now, claimant, usable, over)
+        for _, _, machine, chosen in heapq.nsmallest(budget, found):
+            for placement in chosen:
+                self.tasks.stop(now, placement, "preempted")
+                stopped += 1
+            machine.held_ready = 0.0
+            machine.held_for = claimant.job.spec.id
+            machine.held_until = now + HELD_REPORTS * self.state.timing.report_s
+            self.commands.send(now, machine)
+        return stopped
+
+    def _candidates(
+        self, now: float, claimant: Claimant, usable: list[Machine], over: set[str]
+    ) -> list[tuple[float, str, Machine, list[Placement]]]:
+        """The work that would be lost on each machine, and the tasks to stop there."""
+        job, under = claimant.job, claimant.under_guarantee
+        priority = wire.PRIORITIES[job.spec.priority]
+        machines, jobs = self.state.machines, self.jobs.jobs
+        found: list[tuple[float, str, Machine, list[Placement]]] = []
+        for machine in usable:
+            if now < machine.held_until or (machine.lowest >= priority and not under):
+                continue
+            if not zone_allows(job, machine.zone, machines):
+                continue
+            chosen = dispatch.victims(job, machine, jobs, over, under, now)
+            if chosen:
+                cost = sum(dispatch.lost_work(p, 0.0, now) * p.cpus for p in chosen)
+                found.append((cost, machine.name, machine, chosen))
+        return found
--- /dev/null
+++ b/src/copperpass/core/scheduling/reports.py
@@ -0,0 +1,316 @@
+"""Reports of workers: what they prove of machines and of the tasks on them."""
+
+from __future__ import annotations
+
+from copperpass import wire
+from copperpass.core import dispatch
+from copperpass.core.directory import HANDOVER_SHIFT, UNPOOLED, Status
+from copperpass.core.fleet import UNIDENTIFIED, Machine, Placement
+from copperpass.core.jobs import Job, parse_task
+from copperpass.core.ports import NOT_SENT, Outcome
+from copperpass.core.scheduling.commands import Commands
+from copperpass.core.scheduling.context import SchedulerContext
+from copperpass.core.scheduling.gangs import GangMonitor
+from copperpass.core.scheduling.state import PoolState
+from copperpass.core.scheduling.task_reports import TaskReports
+from copperpass.core.scheduling.tasks import TaskLifecycle
+
+# A task is moved off a machine that goes if it will still run for longer than this multiple of the
+# time that is left: estimates are rough.
+NOTICE_MARGIN = 1.5
+
+
+def proves_gone(machine: Machine, placement: Placement, report: wire.Report, full: bool) -> bool:
+    """Whether a report without the task proves that it is not, and will not be, there."""
+    if placement.seen:
+        return True
+    if placement in machine.starts:
+        return False
+    if placement.barrier:
+        # The start went unanswered: only a report that has seen a higher token passes it.
+        return report.token >= placement.barrier
+    if placement.sent_seq >= 0:
+        # Sent with an answer: the next report shows whether the answer was taken.
+        return full and report.seq > placement.sent_seq
+    return False
+
+
+class Reports:
+    """Takes reports, and the answers to direct commands, which say the same."""
+
+    def __init__(
+        self,
+        context: SchedulerContext,
+        state: PoolState,
+        commands: Commands,
+        tasks: TaskLifecycle,
+        gangs: GangMonitor,
+        task_reports: TaskReports,
+    ) -> None:
+        self.context, self.state, self.commands = context, state, commands
+        self.tasks, self.gangs, self.task_reports = tasks, gangs, task_reports
+        self.jobs, self.timing = context.jobs, state.timing
+        self.machines, self.tally = state.machines, state.tally
+
+    def report(
+        self, now: float, report: wire.Report, handed: bool = False
+    ) -> wire.ReportAnswer | None:
+        """Take a worker's report; None when it must not be answered with 200.
+
+        `handed`: it came over another controller, since its worker doesn't reach this one.
+        """
+        machine = self.machines.get(report.machine)
+        if machine is None or report.token >> HANDOVER_SHIFT > machine.base >> HANDOVER_SHIFT:
+            return None
+        if (report.session, report.seq) <= (machine.session, machine.seq):
+            # A late copy: it changes nothing, and its answer carries no orders. What its answer
+            # could renew was sent before the newest message that we know of came in.
+            newest = max(machine.last_report, machine.last_message)
+            machine.last_answer = max(machine.last_answer, newest)
+            return wire.ReportAnswer(machine.token, [])
+        # A worker that has found its way here can be told directly again: a new machine's first
+        # report often comes to another controller.
+        machine.handed_until = now + 2 * self.timing.report_s if handed else float("-inf")
+        self.take(now, machine, report, True)
+        if self._doubtful(now, machine):
+            return None
+        if machine.settled:
+            # Only two-way contact counts as hearing workers: a report alone may be a late copy.
+            self.state.last_report = now
+        machine.last_answer = max(machine.last_answer, now)
+        commands = self.commands.for_report(now, machine, report)
+        return wire.ReportAnswer(machine.token, commands)
+
+    def take(self, now: float, machine: Machine, report: wire.Report, full: bool) -> None:
+        """Bring what we know of a machine up to a newer report.
+
+        `full`: the worker has sent it by itself; else it is the answer to a direct command.
+        """
+        self._take_session(now, machine, report, full)
+        self._take_proofs(now, machine, report)
+        self._take_tasks(now, machine, report, full)
+        if machine.stale:
+            self.tally.recount(machine)
+        if machine.tasks:
+            machine.idle_since = now
+            self._mind_foreign(machine)
+        else:
+            machine.foreign = False
+            if machine.vacating and not machine.starts:
+                self.state.give_back_if_empty(machine)
+
+    def _take_session(self, now: float, machine: Machine, report: wire.Report, full: bool) -> None:
+        """Note the session, and when the machine was heard."""
+        if report.session != machine.session:
+            if machine.session:
+                # Its earlier tasks are gone. Whether the new session is ours alone only a token
+                # can show: an earlier commander may have known it already.
+                self.tasks.session_over(now, machine)
+            machine.session = report.session
+            # Its lease began before this was said. Counted from the last answer in the session
+            # before, the end of that lease would free the tasks of the new one.
+            machine.last_answer = max(machine.last_answer, now)
+        machine.seq = report.seq
+        machine.address = report.address
+        machine.last_message = now
+        if full or not machine.up:
+            # Guards against a machine that can be commanded but can't report: nothing renews its
+            # lease, so all that it is given is lost, and it must count as silent.
+            machine.last_report = now
+        if not machine.up:
+            machine.up, machine.up_at, machine.idle_since = True, now, now
+            self.state.dirty = True
+
+    def _take_proofs(self, now: float, machine: Machine, report: wire.Report) -> None:
+        """Note the cloud's notice, and what the token proves."""
+        if report.notice_s is not None and machine.notice_until is None:
+            until = machine.notice_until = now + report.notice_s
+            self._noticed(now, machine, until - now)
+        if machine.deaf_since is not None and report.token >= machine.probe:
+            machine.deaf_since, self.state.dirty = None, True
+        if not machine.settled and report.token >= machine.base:
+            machine.settled = True
+            self.state.unsettled.discard(machine.name)
+            self.state.dirty = True
+
+    def _take_tasks(self, now: float, machine: Machine, report: wire.Report, full: bool) -> None:
+        """Bring the machine's tasks up to those that are listed."""
+        listed = set()
+        for task in report.tasks:
+            name = parse_task(task.task)
+            if name is None:
+                continue
+            key = (name[0], name[1], task.attempt)
+            listed.add(key)
+            placement = machine.tasks.get(key)
+            if placement is None:
+                placement = self._adopt(now, machine, key)
+            self.task_reports.update(now, machine, placement, task)
+        swallowed = False
+        for placement in list(machine.tasks.values()):
+            if placement.key not in listed and proves_gone(machine, placement, report, full):
+                swallowed = swallowed or not placement.seen
+                self.tasks.remove(now, machine, placement)
+        if swallowed:
+            self.commands.suspect_deaf(now, machine)
+
+    def _mind_foreign(self, machine: Machine) -> None:
+        """Tasks of another pool are here: the leader didn't know whose machine it is."""
+        foreign = [placement for placement in machine.tasks.values() if placement.foreign]
+        machine.foreign = bool(foreign)
+        if not foreign:
+            return
+        if len(foreign) == len(machine.tasks) and not machine.do_in_flight:
+            pool = next((p.pool for p in foreign if p.pool != UNPOOLED), UNPOOLED)
+            if pool != UNPOOLED:
+                last = Status(machine.name, machine.base, up=True, given=True, pool=pool)
+                self.state.part_with(machine, last)
+                return
+        for placement in foreign:
+            if placement.active and placement.stop is None:
+                placement.stop, placement.stopping_for = 0.0, "foreign"
+
+    def _adopt(self, now: float, machine: Machine, key: tuple[str, int, int]) -> Placement:
+        """A task of an earlier authority."""
+        placement = Placement(
+            key[0],
+            key[1],
+            key[2],
+            machine.name,
+            UNIDENTIFIED,
+            "",
+            0,
+            0.0,
+            0.0,
+            0.0,
+            "",
+            0.0,
+            seen=True,
+            sent_at=now,
+        )
+        machine.tasks[key] = placement
+        machine.stale = True
+        self.state.where.setdefault(placement.job_id, set()).add(machine.name)
+        self._match_job(machine, placement)
+        return placement
+
+    def match_jobs(self) -> None:
+        """The view has caught up: match all tasks with their jobs again."""
+        for machine in self.machines.values():
+            for placement in list(machine.tasks.values()):
+                self._match_job(machine, placement)
+
+    def _match_job(self, machine: Machine, placement: Placement) -> None:
+        job = self.jobs.jobs.get(placement.job_id)
+        if job is not None:
+            if not self.context.is_mine(job.spec.team):
+                placement.foreign, placement.pool = True, self.context.pools[job.spec.team]
+                return
+            self._match_own_job(machine, placement, job)
+            return
+        if self.state.knows_over(placement):
+            if placement.active:
+                placement.stop, placement.stopping_for = 0.0, "job over"
+            else:
+                placement.stored = True
+
+    def _match_own_job(self, machine: Machine, placement: Placement, job: Job) -> None:
+        if placement.team == UNIDENTIFIED:
+            spec = job.spec
+            placement.team, placement.job_class = spec.team, spec.job_class
+            placement.priority = wire.PRIORITIES[spec.priority]
+            placement.cpus, placement.gpus = spec.cpus, spec.gpus
+            placement.memory_gb = spec.memory_gb
+            placement.image, placement.estimate_s = spec.image, spec.estimate_s
+            machine.touch_image(spec.image, spec.image_gb)
+            self.tally.recount(machine)
+        if placement.active and job.announce_cancelled:
+            placement.stop, placement.stopping_for = 0.0, "called off"
+        if placement.active and placement.index < job.spec.tasks:
+            other = job.placed.get(placement.index)
+            if other is None and not job.is_done(placement.index):
+                job.placed[placement.index] = machine.name
+            elif other != machine.name:
+                placement.stop, placement.stopping_for = 0.0, "duplicate"
+
+    def _doubtful(self, now: float, machine: Machine) -> bool:
+        """Whether a machine has tasks of which nobody here knows if their job is over.
+
+        To renew its lease would keep them alive. One owner may do so for a moment, until its view
+        has caught up; but owners that follow one another while the state service is away would do
+        it for good, and a job cancelled before that would go on past any bound.
+        """
+        if self.state.ready or now - self.context.fresh_at() < self.timing.lease_s / 4:
+            return False
+        return any(
+            p.team == UNIDENTIFIED and p.active and not p.foreign and p.stop is None
+            for p in machine.tasks.values()
+        )
+
+    def _noticed(self, now: float, machine: Machine, left: float) -> None:
+        """The cloud takes the machine soon: let end what can end, move the rest in time."""
+        self.state.dirty = True
+        for placement in list(machine.starts):
+            self.tasks.remove(now, machine, placement)
+        for placement in list(machine.tasks.values()):
+            if not placement.active or placement.stop is not None:
+                continue
+            job = self.jobs.jobs.get(placement.job_id)
+            if (
+                job is not None
+                and job.spec.gang
+                and job.begun
+                and (job.spec.save_s > left or not self.gangs.reached(now, job))
+            ):
+                # It can't be saved in time: to run on may still complete it.
+                continue
+            if dispatch.remaining(placement, now) > NOTICE_MARGIN * left:
+                self.tasks.stop(now, placement, "notice")
+
+    def direct_answer(
+        self,
+        now: float,
+        outcome: Outcome,
+        machine: Machine,
+        starts: list[Placement],
+        ordered: bool,
+    ) -> None:
+        """A direct request was answered, or not: what has become of its starts."""
+        report = None
+        if outcome.status in (200, 409):
+            report = wire.decode(outcome.body, wire.Report)
+        mine = [p for p in starts if machine.tasks.get(p.key) is p and not p.seen]
+        if outcome.status == NOT_SENT and ordered:
+            # No connection: whatever is there can't be reached, so it gets nothing new for now.
+            machine.do_broken_until = now + 2 * self.timing.report_s
+            self.commands.suspect_deaf(now, machine)
+        if outcome.status in (400, 409, NOT_SENT):
+            # Nothing was executed, for certain.
+            for placement in mine:
+                self.tasks.remove(now, machine, placement)
+        elif (outcome.status != 200 or report is None) and ordered:
+            # Unanswered: it may be executed at any later time, until the worker has seen a
+            # higher token or begun another session.
+            machine.do_broken_until = now + 2 * self.timing.report_s
+            self.commands.suspect_deaf(now, machine)
+            for placement in mine:
+                placement.barrier = machine.token
+        if report is not None:
+            self._take_direct(now, machine, report)
+        if outcome.status == 200:
+            for placement in mine:
+                if not placement.seen and machine.tasks.get(placement.key) is placement:
+                    placement.sent_seq = machine.seq
+        self.state.dirty = True
+        self.commands.send(now, machine)
+
+    def _take_direct(self, now: float, machine: Machine, report: wire.Report) -> None:
+        """Take what an answer reports, if it is newer than what is known."""
+        if (report.session, report.seq) <= (machine.session, machine.seq):
+            return
+        if report.token >> HANDOVER_SHIFT > machine.base >> HANDOVER_SHIFT:
+            return
+        if report.session != machine.session:
+            # It was asked under a session that is over; now the right one is known.
+            machine.next_probe = now
+        self.take(now, machine, report, False)
--- /dev/null
+++ b/src/copperpass/core/scheduling/reservations.py
@@ -0,0 +1,77 @@
+"""Room that is reserved: scarce types for large tasks, ordinary machines for who needs them."""
+
+from __future__ import annotations
+
+from copperpass.core import dispatch, rental
+from copperpass.core.fleet import Machine
+from copperpass.core.jobs import Job
+from copperpass.core.scheduling.context import SchedulerContext
+from copperpass.core.scheduling.state import PoolState
+
+# The part of its patience after which a job none of whose tasks has started finds any room.
+LEFT_OUT_PART = 0.6
+
+
+class Reservations:
+    """What is reserved from whom, and the policy for a job's placement that follows from it."""
+
+    def __init__(self, context: SchedulerContext, state: PoolState) -> None:
+        self.state, self.tuning = state, context.tuning
+        self.scarce = dispatch.Scarce(context.types, self.tuning.keep_scarce_s)
+        # Ordinary machines that are kept for work that may use no other.
+        self.kept: frozenset[str] = frozenset()
+        self.ordinary_peak = rental.Peak(self.tuning.warm_window_boots * state.timing.boot_s)
+
+    def left_out(self, job: Job, now: float) -> bool:
+        """Whether none of a job's tasks has started for so long that nothing is kept from it.
+
+        Room that is kept or held for others must not let a job wait beside it without a bound.
+        """
+        waits = not job.placed and not job.finished and job.done_count == 0
+        return waits and now - job.arrived > LEFT_OUT_PART * self.tuning.patience_s
+
+    def policy(
+        self, job: Job, left_out: bool, spot_only: bool, urgent: bool
+    ) -> dispatch.PlacementPolicy:
+        """Where the job's tasks may be started in this round, whether a gang's or single ones."""
+        return dispatch.PlacementPolicy(
+            closed_types=frozenset() if left_out else self.scarce.closed_to(job.spec),
+            spot_only=spot_only,
+            urgent=urgent,
+            reserved=frozenset() if job.spec.gang else self.kept,
+            ignore_reservations=left_out,
+        )
+
+    def keep_ordinary(self, now: float, jobs: list[Job], usable: list[Machine]) -> None:
+        """Choose the ordinary machines that are kept from work that may use cheap ones.
+
+        Work that needs ordinary room and can't wait for a boot would otherwise find it taken by
+        work that could have gone elsewhere; gangs need it in one zone at that, and whole.
+        """
+        aims, boot_s = self.state.aims, self.state.timing.boot_s
+        self.ordinary_peak.add(
+            now,
+            sum(
+                job.spec.cpus * (job.spec.tasks - job.done_count)
+                for job in jobs
+                if rental.needs_ordinary(job, aims, boot_s)
+            ),
+        )
+        need = self.ordinary_peak.value()
+        kept: set[str] = set()
+        if need > 0:
+            for machine in self._ordinary(usable):
+                if need <= 0:
+                    break
+                need -= machine.type.cpus
+                kept.add(machine.name)
+        self.kept = frozenset(kept)
+
+    def _ordinary(self, usable: list[Machine]) -> list[Machine]:
+        """Those that are kept stay so, and whole zones before parts of many."""
+        zones: dict[str, float] = {}
+        ordinary = [machine for machine in usable if not machine.spot]
+        for machine in ordinary:
+            zones[machine.zone] = zones.get(machine.zone, 0.0) + machine.type.cpus
+        ordinary.sort(key=lambda m: (m.name not in self.kept, -zones[m.zone], m.zone, m.name))
+        return ordinary
--- /dev/null
+++ b/src/copperpass/core/scheduling/silence.py
@@ -0,0 +1,86 @@
+"""Machines that aren't heard: leases that have ended, and machines that are given up."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from copperpass.core.fleet import Machine
+from copperpass.core.scheduling.context import SchedulerContext
+from copperpass.core.scheduling.state import PoolState
+from copperpass.core.scheduling.tasks import TaskLifecycle
+
+# A zone that is silent as a whole is waited for as many leases before its machines are deleted.
+CUT_LEASES = 4.0
+
+
+class Silence:
+    """How many of the machines that should be heard are silent, in all and in each zone."""
+
+    def __init__(
+        self, machines: Iterable[Machine], unsettled: set[str], now: float, silence: float
+    ) -> None:
+        self.zones: dict[str, list[int]] = {}
+        for machine in machines:
+            if machine.up or machine.name in unsettled:
+                counts = self.zones.setdefault(machine.zone, [0, 0])
+                counts[0] += now - machine.contact > silence
+                counts[1] += 1
+        self.silent = sum(counts[0] for counts in self.zones.values())
+        self.all = sum(counts[1] for counts in self.zones.values())
+
+    def few(self, zone: str) -> bool:
+        """Whether most others can be heard, in all and in the zone."""
+        return self.silent * 3 <= self.all and not self.cut(zone)
+
+    def cut(self, zone: str) -> bool:
+        """Whether most of a zone can't be heard, and it is more than a machine or two."""
+        silent, known = self.zones.get(zone, (0, 0))
+        return silent * 2 > known and silent > 2
+
+
+class SilenceScan:
+    """Ends leases, and asks the leader to delete machines that are lost."""
+
+    def __init__(self, context: SchedulerContext, state: PoolState, tasks: TaskLifecycle) -> None:
+        self.out, self.state, self.tasks = context.out, state, tasks
+
+    def scan(self, now: float) -> None:
+        """Look at all machines once."""
+        state, timing = self.state, self.state.timing
+        silence = Silence(state.machines.values(), state.unsettled, now, timing.silence_s)
+        for machine in list(state.machines.values()):
+            ended = float("-inf") < machine.last_answer < now - timing.lease_s
+            if ended and (machine.tasks or machine.name in state.unsettled):
+                self.out.log("info", "lease over", machine=machine.name)
+                state.unsettled.discard(machine.name)
+                self.tasks.session_over(now, machine)
+            if machine.releasing:
+                continue
+            why = self._hopeless(now, machine, ended, silence)
+            if why:
+                self.out.log("info", "machine given up", machine=machine.name, why=why)
+                machine.releasing = True
+
+    def _hopeless(self, now: float, machine: Machine, ended: bool, silence: Silence) -> str:
+        """Why a machine should be deleted, if it should."""
+        timing = self.state.timing
+        few, cut = silence.few(machine.zone), silence.cut(machine.zone)
+        patience = CUT_LEASES * timing.lease_s if cut else timing.lease_s
+        quiet = now - machine.contact
+        waited = now - max(machine.last_answer - timing.overlap_s, self.state.since)
+        lost = machine.name in self.state.unsettled and waited > timing.lost_s and few
+        if not machine.up and machine.recorded and (lost or (ended and waited > patience)):
+            # Known by its record alone, and silent for longer than a worker takes to find its way
+            # while others are heard, or for a whole lease: it is gone or cut off. Its record would
+            # hold up all older jobs, and the next change of leader too.
+            return "never heard"
+        if machine.up and quiet > timing.lost_s and (few or quiet > patience):
+            # A silent machine among speaking ones: have the cloud end it, which frees its tasks
+            # sooner than its lease would. A whole zone is rather cut off than dead: its machines
+            # are worth more when it is back than new ones, which would report to nobody either.
+            return "silent"
+        if machine.up and not machine.settled and now - machine.up_at > timing.lease_s:
+            # It speaks, but for a whole lease no answer has reached it: its session is over by
+            # then, and a machine that can be commanded is worth more.
+            return "deaf"
+        return "sick" if machine.fenced and machine.empty() else ""
--- /dev/null
+++ b/src/copperpass/core/scheduling/state.py
@@ -0,0 +1,98 @@
+"""The mutable state of a pool's scheduler, which its parts work on together."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from copperpass.core.directory import Contact, Status
+from copperpass.core.dispatch import Aims
+from copperpass.core.fleet import Machine, Placement, Tally
+from copperpass.core.jobs import Job
+from copperpass.core.scheduling.context import SchedulerContext, Timing
+from copperpass.settings import Team
+
+# How many of a team's latest tasks tell what its next ones will ask for.
+RECENT_TASKS = 64
+
+
+class PoolState:
+    """Machines, tasks and flags of one ownership.
+
+    The containers are never replaced, so that the parts may hold on to them.
+    """
+
+    def __init__(self, context: SchedulerContext, revision: int, now: float) -> None:
+        cluster = context.cluster
+        self.context = context
+        self.timing = Timing.of(context)
+        self.teams: list[Team] = [t for t in cluster.teams if context.pools[t.name] == context.pool]
+        self.by_team = {team.name: team for team in self.teams}
+        # Jobs created after this revision can't have been started by an earlier owner.
+        self.revision = revision
+        self.since = now
+        # The view has caught up with the revision at which the ownership began.
+        self.ready = False
+        # Set when the ownership has passed: answers that come later must not touch the jobs.
+        self.over = False
+        # Something has changed that the next dispatch round should look at.
+        self.dirty = False
+        # What the leader should be told at once: tasks in need of machines, machines given back.
+        self.needs_machines = self.returning = False
+        # Whether dear machines could go back: else they stay up, and any work may use them.
+        self.dear_excess = True
+        self.machines: dict[str, Machine] = {}
+        self.tally = Tally()
+        # Machines taken over that may hold tasks which haven't been reported yet.
+        self.unsettled: set[str] = set()
+        # Machines of other pools where tasks of this pool may be, by the leader's word.
+        self.elsewhere: dict[str, tuple[str, str, bool]] = {}
+        # Machines given back: their last status is told until the leader has moved them.
+        self.given: dict[str, Status] = {}
+        # The machines where a job has or had tasks.
+        self.where: dict[str, set[str]] = {}
+        self.aims = Aims(cluster.objectives, context.tuning.patience_s)
+        # CPUs, GPUs and memory of the latest tasks started, by team.
+        self.recent: dict[str, deque[tuple[float, float, float]]] = {
+            team.name: deque(maxlen=RECENT_TASKS) for team in self.teams
+        }
+        self.last_report = now
+
+    def own_jobs(self) -> list[Job]:
+        """The jobs of this pool's teams."""
+        by_team = self.by_team
+        return [job for job in self.context.jobs.jobs.values() if job.spec.team in by_team]
+
+    def knows_over(self, placement: Placement) -> bool:
+        """Whether a task whose job is not in the view is certainly of a job that is over.
+
+        The view is newer than our win, or than the report that showed the task: when it was
+        started its job was there.
+        """
+        return self.ready or self.context.fresh_at() > placement.sent_at
+
+    def part_with(self, machine: Machine, last: Status) -> None:
+        """Command a machine no more; its last status is told until the leader has moved it."""
+        del self.machines[machine.name]
+        self.tally.drop(machine)
+        self.unsettled.discard(machine.name)
+        self.given[machine.name] = last
+        self.returning = self.dirty = True
+
+    def give_back_if_empty(self, machine: Machine) -> bool:
+        """Give a machine back to the leader if it is proven empty; returns whether it was."""
+        if not (machine.empty() and machine.settled and machine.deaf_since is None):
+            return False
+        contact = Contact(machine.address, machine.session, machine.seq)
+        self.part_with(
+            machine,
+            Status(
+                machine.name,
+                machine.base,
+                up=True,
+                settled=True,
+                idle=True,
+                given=True,
+                contact=contact,
+            ),
+        )
+        return True
--- /dev/null
+++ b/src/copperpass/core/scheduling/task_reports.py
@@ -0,0 +1,174 @@
+"""What reports say of single tasks: running, ended, refused; and of machines where tasks fail."""
+
+from __future__ import annotations
+
+from copperpass import wire
+from copperpass.core.fleet import UNIDENTIFIED, Machine, Placement
+from copperpass.core.jobs import Job
+from copperpass.core.scheduling.context import SchedulerContext
+from copperpass.core.scheduling.gangs import GangMonitor
+from copperpass.core.scheduling.job_results import JobResults
+from copperpass.core.scheduling.state import PoolState
+from copperpass.core.scheduling.tasks import TaskLifecycle, runs_alone
+
+# A job that has failed on as many machines has probably a mistake of its own.
+FAILED_MACHINES = 3
+# As many such jobs that fail on one machine show that the machine is sick.
+SICK_JOBS = 2
+# The wait after a failure doubles this often at most.
+MOST_DOUBLINGS = 6
+
+
+class TaskReports:
+    """Brings placements and jobs up to what reports say of their tasks."""
+
+    def __init__(
+        self,
+        context: SchedulerContext,
+        state: PoolState,
+        tasks: TaskLifecycle,
+        gangs: GangMonitor,
+        results: JobResults,
+    ) -> None:
+        self.state, self.tasks, self.gangs, self.results = state, tasks, gangs, results
+        self.out, self.jobs = context.out, context.jobs
+
+    def update(
+        self, now: float, machine: Machine, placement: Placement, task: wire.TaskReport
+    ) -> None:
+        """A task is reported as being on a machine."""
+        was_active = placement.active
+        placement.seen = True
+        if placement.foreign:
+            placement.state = task.state
+            machine.stale = True
+            return
+        job = self.jobs.jobs.get(placement.job_id)
+        if task.state == wire.EXITED:
+            if was_active:
+                self._exited(now, machine, placement, task, job)
+        elif was_active:
+            self._is_active(now, placement, task, job)
+
+    def _is_active(
+        self, now: float, placement: Placement, task: wire.TaskReport, job: Job | None
+    ) -> None:
+        if task.state in (wire.TASK_RUNNING, wire.SAVING) and not placement.running_at:
+            placement.running_at = now
+        placement.state = task.state
+        if job is not None and job.spec.gang:
+            self.gangs.seen(now, job, placement)
+        if job is None and placement.stop is None and self.state.knows_over(placement):
+            placement.stop, placement.stopping_for = 0.0, "job over"
+
+    def _exited(
+        self,
+        now: float,
+        machine: Machine,
+        placement: Placement,
+        task: wire.TaskReport,
+        job: Job | None,
+    ) -> None:
+        """A task that was active is reported as ended."""
+        placement.state, placement.why = wire.EXITED, task.why or ""
+        machine.stale = True
+        if placement.why != wire.WHY_DONE:
+            self._log_end(now, machine, placement, task)
+        if placement.team == UNIDENTIFIED and job is None:
+            placement.stored = self.state.knows_over(placement)
+            return
+        self.state.dirty = True
+        if job is None:
+            placement.stored = True
+        elif placement.why == wire.WHY_DONE:
+            self._done(now, machine, placement, job)
+        else:
+            self._ended_undone(now, machine, placement, job)
+
+    def _log_end(
+        self, now: float, machine: Machine, placement: Placement, task: wire.TaskReport
+    ) -> None:
+        self.out.log(
+            "debug",
+            "task ended",
+            task=task.task,
+            why=placement.why,
+            asked=placement.stopping_for,
+            machine=machine.name,
+            ran=round(now - placement.running_at, 1) if placement.running_at else 0,
+        )
+
+    @staticmethod
+    def _is_current(machine: Machine, placement: Placement, job: Job) -> bool:
+        """Whether the placement is the one that the job counts on for its task."""
+        return job.placed.get(placement.index) == machine.name and runs_alone(machine, placement)
+
+    def _done(self, now: float, machine: Machine, placement: Placement, job: Job) -> None:
+        current = self._is_current(machine, placement, job)
+        if job.spec.gang:
+            # They complete together: if one is done, all are. The others' machines may be lost with
+            # their reports, and nothing is left that could run again.
+            job.finished.update(i for i in range(job.spec.tasks) if not job.is_done(i))
+        machine.errors.clear()
+        job.failed_on.clear()
+        job.failures = 0
+        if current:
+            job.placed.pop(placement.index, None)
+        if job.is_done(placement.index):
+            placement.stored = True
+        else:
+            job.finished.add(placement.index)
+            job.results.setdefault(placement.index, []).append(placement)
+            self.results.store(now, job)
+
+    def _ended_undone(self, now: float, machine: Machine, placement: Placement, job: Job) -> None:
+        placement.stored = True
+        if self._is_current(machine, placement, job):
+            job.release(placement.index)
+        report_s = self.state.timing.report_s
+        if placement.why == wire.WHY_ERROR:
+            self._failed(now, machine, job)
+        elif placement.why in (wire.WHY_NO_ROOM, wire.WHY_BUSY):
+            machine.hold_until = now + report_s
+        elif placement.why == wire.WHY_UNKNOWN:
+            # The worker fetches the description itself and may have been told nothing yet.
+            job.hold_until = now + report_s
+        if job.spec.gang:
+            self.gangs.exited(now, job, placement)
+
+    def _failed(self, now: float, machine: Machine, job: Job) -> None:
+        """Tell a sick machine (many jobs fail there) from a job with a mistake."""
+        timing = self.state.timing
+        job.failures += 1
+        job.failed_on.add(machine.name)
+        machine.errors.add(job.spec.id)
+        if len(job.failed_on) >= FAILED_MACHINES:
+            # Guards the fleet against a job that fails everywhere: back off, longer each time.
+            wait = timing.report_s * 2 ** min(job.failures, MOST_DOUBLINGS)
+            job.hold_until = max(job.hold_until, now + min(wait, timing.lease_s))
+        jobs = self.jobs.jobs
+        suspects = [
+            name
+            for name in machine.errors
+            if name in jobs and len(jobs[name].failed_on) < FAILED_MACHINES
+        ]
+        # A gang that fails here alone, again, while its other machines do well, finds nowhere else
+        # to go: it is the machine. One with a mistake fails on others too.
+        alone = job.spec.gang and job.failures >= 2 and job.failed_on == {machine.name}
+        if machine.fenced:
+            return
+        if len(suspects) >= SICK_JOBS or alone:
+            self._fence(now, machine, len(suspects))
+        else:
+            machine.hold_until = now + 2 * timing.report_s
+
+    def _fence(self, now: float, machine: Machine, suspects: int) -> None:
+        """Give a sick machine nothing new, and take back what doesn't run there yet."""
+        machine.fenced = True
+        self.out.log("info", "machine fenced", machine=machine.name, jobs=suspects)
+        for placement in machine.tasks.values():
+            if placement.active and placement.stop is None and not placement.running_at:
+                placement.stop, placement.stopping_for = 0.0, "sick machine"
+                placement.stop_sent = 0.0
+        for placement in list(machine.starts):
+            self.tasks.remove(now, machine, placement)
--- /dev/null
+++ b/src/copperpass/core/scheduling/tasks.py
@@ -0,0 +1,161 @@
+"""The life of tasks on machines: started, stopped, or proven not to be there."""
+
+from __future__ import annotations
+
+from copperpass import wire
+from copperpass.core.fleet import Machine, Placement
+from copperpass.core.jobs import Job
+from copperpass.core.scheduling.commands import Commands
+from copperpass.core.scheduling.context import SchedulerContext
+from copperpass.core.scheduling.state import PoolState
+
+# Attempts are told apart by term, then by ownership within the term, then counted.
+EPOCH_SHIFT, SERIAL_SHIFT = 44, 28
+# What a task is given to save itself, as a multiple of what its job says that it takes.
+SAVE_MARGIN = 1.2
+
+
+def runs_alone(machine: Machine, placement: Placement) -> bool:
+    """Whether no other attempt of the task runs on the machine.
+
+    Guards the attempt that runs: an ended one that was not cleared yet would free its task.
+    """
+    return not any(
+        other is not placement
+        and other.active
+        and other.index == placement.index
+        and other.job_id == placement.job_id
+        for other in machine.tasks.values()
+    )
+
+
+class TaskLifecycle:
+    """Places tasks on machines and takes them off; of a gang, all tasks of an attempt together."""
+
+    def __init__(self, context: SchedulerContext, state: PoolState, commands: Commands) -> None:
+        self.context, self.state, self.commands = context, state, commands
+        self.machines, self.where, self.tally = state.machines, state.where, state.tally
+        self.jobs = context.jobs
+
+    def new_attempt(self, job: Job) -> int:
+        """Count one more attempt of a job; attempts of different owners never equal."""
+        job.attempts += 1
+        context = self.context
+        return (context.epoch << EPOCH_SHIFT) + (context.serial << SERIAL_SHIFT) + job.attempts
+
+    def start(self, now: float, job: Job, index: int, machine: Machine) -> None:
+        """Place a task on a machine; it is sent with the machine's next commands."""
+        spec = job.spec
+        placement = Placement(
+            spec.id,
+            index,
+            job.attempt if spec.gang else self.new_attempt(job),
+            machine.name,
+            spec.team,
+            spec.job_class,
+            wire.PRIORITIES[spec.priority],
+            spec.cpus,
+            spec.gpus,
+            spec.memory_gb,
+            spec.image,
+            spec.estimate_s,
+            sent_at=now,
+        )
+        machine.tasks[placement.key] = placement
+        self.where.setdefault(spec.id, set()).add(machine.name)
+        machine.starts.append(placement)
+        machine.idle_since = now
+        machine.touch_image(spec.image, spec.image_gb)
+        self.tally.recount(machine)
+        job.placed[index] = machine.name
+        self.state.recent[spec.team].append((spec.cpus, spec.gpus, spec.memory_gb))
+
+    def remove(self, now: float, machine: Machine, placement: Placement) -> None:
+        """A task is proven not to be on its machine."""
+        machine.tasks.pop(placement.key, None)
+        if placement in machine.starts:
+            machine.starts.remove(placement)
+        job = self.jobs.jobs.get(placement.job_id)
+        placed = (
+            placement.active and job is not None and job.placed.get(placement.index) == machine.name
+        )
+        if placed and job is not None and runs_alone(machine, placement):
+            job.release(placement.index)
+            if job.spec.gang:
+                if job.begun and placement.attempt == job.attempt and not job.ended():
+                    # The others notice and exit; what they did since the last checkpoint is lost.
+                    self.end_gang(now, job, "task lost", 0.0)
+                job.settle_gang()
+        self.state.dirty = True
+        self.tally.recount(machine)
+
+    def session_over(self, now: float, machine: Machine) -> None:
+        """A machine's session has ended, and with it all of its tasks."""
+        for placement in list(machine.tasks.values()):
+            self.remove(now, machine, placement)
+        machine.starts.clear()
+        machine.images.clear()
+        if machine.vacating:
+            self.state.give_back_if_empty(machine)
+
+    def stop(self, now: float, placement: Placement, why: str) -> None:
+        """Stop a task in order; of a gang that has begun all tasks, so that they save together."""
+        job = self.jobs.jobs.get(placement.job_id)
+        if job is None or not job.spec.gang or not job.begun or job.ending:
+            # A gang that hasn't begun waits for a replacement under the same attempt.
+            placement.stop, placement.stopping_for, placement.stop_sent = (
+                self._save_s(placement),
+                why,
+                0.0,
+            )
+        else:
+            self.end_gang(now, job, why, self._save_s(placement))
+
+    def end_gang(self, now: float, job: Job, why: str, grace: float) -> None:
+        """An attempt is over: all its tasks go, told as close together as can be.
+
+        Another begins only when every one of them is proven gone.
+        """
+        if job.ending:
+            return
+        job.ending = True
+        self.context.out.log("info", "gang stopped", job=job.spec.id, why=why, begun=job.begun)
+        for name in list(self.where.get(job.spec.id, ())):
+            machine = self.machines.get(name)
+            if machine is None:
+                continue
+            for placement in list(machine.tasks.values()):
+                if placement.job_id != job.spec.id or not placement.active:
+                    continue
+                if placement in machine.starts:
+                    self.remove(now, machine, placement)
+                elif placement.stop is None:
+                    placement.stop, placement.stopping_for, placement.stop_sent = grace, why, 0.0
+            self.commands.send(now, machine)
+        job.settle_gang()
+
+    def stop_all(self, now: float, job: Job, why: str) -> None:
+        """Take back a job's starts, and stop all that is or may be there."""
+        for name in list(self.where.get(job.spec.id, ())):
+            machine = self.machines.get(name)
+            if machine is None:
+                continue
+            touched = False
+            for placement in list(machine.tasks.values()):
+                if placement.job_id != job.spec.id:
+                    continue
+                touched = True
+                if placement in machine.starts:
+                    self.remove(now, machine, placement)
+                elif placement.active:
+                    placement.stop, placement.stopping_for = 0.0, why
+                    placement.stop_sent = 0.0
+                elif job.spec.id not in self.jobs.jobs:
+                    placement.stored = True
+            if touched:
+                self.commands.send(now, machine)
+
+    def _save_s(self, placement: Placement) -> float:
+        """What a task is given to save itself when it is stopped."""
+        job = self.jobs.jobs.get(placement.job_id)
+        return SAVE_MARGIN * job.spec.save_s if job and job.spec.checkpoint_s > 0 else 0.0
--- a/tests/test_concurrent_failures.py
+++ b/tests/test_concurrent_failures.py
@@ -122,7 +122,7 @@
     simulation = Simulation(seed=seed)
     simulation.run_until(simulation.leader)
     # Holds the guards on the version of the live record in `UserApi.cancel`,
-    # `PoolScheduler._store` and on both keys in `UserApi.submit`. Slow answers let an end come
+    # `JobResults.store` and on both keys in `UserApi.submit`. Slow answers let an end come
     # between a read and a write.
     simulation.slow_state = 0.25 if seed > 2 else 0.0
     users = []
@@ -197,7 +197,7 @@
 @pytest.mark.parametrize("trouble", ["unreachable", "deaf", "mute", "hung"])
 @pytest.mark.parametrize("parted", [False, True])
 def test_a_leader_ends_while_machines_with_long_tasks_do_not_hear_the_new_one(trouble, parted):
-    # Holds what is unseen in `PoolScheduler._startable`.
+    # Holds what is unseen in `Demand.startable`.
     simulation = started_simulation(
         [job(n, tasks=4, run_s=100.0, slot="slow") for n in (1, 2)], 8, parted=parted
     )
@@ -265,7 +265,7 @@
 
 
 def test_old_reports_arrive_after_newer_ones_also_of_earlier_sessions_and_attempts():
-    # Holds the comparison of session and number in `PoolScheduler.report`.
+    # Holds the comparison of session and number in `Reports.report`.
     simulation = Simulation(seed=4)
     simulation.run_until(simulation.leader)
     simulation.late_reports = 0.4
@@ -565,7 +565,7 @@
 
 
 def test_the_end_of_an_old_lease_does_not_free_the_tasks_of_a_new_session():
-    # Holds `machine.last_answer` at a change of session in `PoolScheduler._take`.
+    # Holds `machine.last_answer` at a change of session in `Reports.take`.
     bench = Bench()
     machine = bench.take_over("m-9", contact=Contact("10.0.0.8:1", 3, 0))
     taken = bench.now
@@ -574,15 +574,15 @@
     for status, token, seq in ((409, 1, 7), (200, machine.base, 8)):
         (probe,) = bench.take("worker")
         probe.then(bench.now, Outcome(status, said("m-9", [], token, 4, seq)))
-        bench.owner._probe(bench.now)
+        bench.owner.commands.probe(bench.now)
     bench.owner.machines["m-1"].hold_until = bench.now + 99.0
     call, attempt = bench.start()
     assert call.address == "10.0.0.8:1"
     tasks = [("req-000001/0", attempt, "running", None)]
     call.then(bench.now, Outcome(200, said("m-9", tasks, machine.base, 4, 9)))
-    bench.owner._scan(taken + bench.owner.lease_s + 0.1)
+    bench.owner.scan(taken + bench.owner.timing.lease_s + 0.1)
     assert bench.job.placed == {0: "m-9"}
-    bench.owner._scan(bench.now + bench.owner.lease_s + 0.1)
+    bench.owner.scan(bench.now + bench.owner.timing.lease_s + 0.1)
     assert bench.job.placed == {}
 
 
@@ -593,8 +593,10 @@
     for second in range(1, 4):
         bench.now += 1.0
         bench.add(second)
-        bench.owner._take(bench.now, machine, bench.message([], seq=bench.seq + second), False)
-    assert not machine.usable(bench.now, bench.owner.silence)
+        bench.owner.reports.take(
+            bench.now, machine, bench.message([], seq=bench.seq + second), False
+        )
+    assert not machine.usable(bench.now, bench.owner.timing.silence_s)
     # Yet a copy of what it said before is bounded by the newest message, not the newest report.
     bench.owner.report(bench.now, bench.message([], seq=1))
     assert machine.last_answer == bench.now
@@ -624,7 +626,7 @@
     bench.jobs.saw_completions(key, b'{"req-000001":"AQ=="}')
     bench.owner.completions.versions[key] = 66
     bench.jobs.jobs["req-000002"].finished.add(1)
-    bench.owner._scan(bench.now)
+    bench.owner.scan(bench.now)
     bench.now += bench.owner.completions.gather_s
     bench.owner.completions.tick(bench.now)
     (write,) = bench.take("state")
@@ -677,11 +679,11 @@
     # Holds `overlap_s`: the leader restarted at once, and that owner had not seen it.
     bench = Bench()
     bench.add(version=40)
-    bench.owner.overlap_s = 1.5
+    bench.owner.timing.overlap_s = 1.5
     machine = bench.take_over("m-9", contact=Contact("10.0.0.8:1", 3, 0))
-    bench.owner._scan(bench.now + 1.4 + bench.owner.lease_s)
+    bench.owner.scan(bench.now + 1.4 + bench.owner.timing.lease_s)
     assert machine.name in bench.owner.unsettled
-    bench.owner._scan(bench.now + 1.6 + bench.owner.lease_s)
+    bench.owner.scan(bench.now + 1.6 + bench.owner.timing.lease_s)
     assert machine.name not in bench.owner.unsettled
 
 
--- a/tests/test_pool_scheduler.py
+++ b/tests/test_pool_scheduler.py
@@ -12,6 +12,7 @@
 from copperpass.core.jobs import JobTable
 from copperpass.core.pool_scheduler import PoolScheduler
 from copperpass.core.ports import Outbox, Outcome
+from copperpass.core.scheduling.context import SchedulerContext
 from copperpass.core.transactions import TransactionQueue
 from tests.simulation import TYPE, job, raw_settings
 
@@ -28,7 +29,7 @@
             "box": wire.decode(json.dumps({"racks": [TYPE]}).encode(), wire.MachineTypes).types[0]
         }
         self.token = base_token(1, 1)
-        self.owner = PoolScheduler(
+        context = SchedulerContext(
             cluster,
             self.out,
             transactions,
@@ -39,12 +40,11 @@
             pools={t.name: 0 for t in cluster.teams},
             epoch=1,
             serial=1,
-            revision=50,
             token_version=lambda: 50,
             entitled=lambda now: True,
-            now=self.now,
             fresh_at=lambda: self.fresh_at,
         )
+        self.owner = PoolScheduler(context, revision=50, now=self.now)
         self.entry = Entry("m-1", "box", "a", True, 0, self.token, recorded=True)
         self.owner.learn(self.now, self.entry)
         self.owner.begin(self.now)
@@ -136,7 +136,7 @@
     answer = bench.report([])
     assert [c.op for c in answer.commands] == [wire.START]
     direct = bench.message([], seq=bench.seq + 1)
-    bench.owner._take(bench.now, machine, direct, False)
+    bench.owner.reports.take(bench.now, machine, direct, False)
     assert bench.job.placed == {0: "m-1"}, "an answer of /do may be older than the start"
     bench.seq += 1
     bench.report([])
@@ -169,7 +169,7 @@
     assert answer.commands == []
     bench.answer_state(0)
     assert bench.report(ended).commands == [], "no answer: it may not be stored"
-    bench.owner._store(bench.now, bench.job)
+    bench.owner.results.store(bench.now, bench.job)
     bench.answer_state(200)
     answer = bench.report(ended)
     assert answer.commands == [] and answer.token > bench.token
@@ -198,7 +198,7 @@
     _, attempt = bench.start()
     bench.report([("req-000001/0", attempt, "running", None)])
     bench.owner.machines["m-1"].releasing = True
-    bench.owner._scan(bench.now)
+    bench.owner.scan(bench.now)
     assert bench.job.placed == {0: "m-1"}
     assert [s.release for s in bench.owner.statuses(bench.now)] == [True]
     bench.owner.learn(bench.now, dataclasses.replace(bench.entry, gone=True))
@@ -210,9 +210,9 @@
     _, attempt = bench.start()
     bench.report([("req-000001/0", attempt, "running", None)])
     at = bench.now
-    bench.owner._scan(at + 11.9)
+    bench.owner.scan(at + 11.9)
     assert bench.job.placed == {0: "m-1"}
-    bench.owner._scan(at + 12.2)
+    bench.owner.scan(at + 12.2)
     assert bench.job.placed == {}
 
 
@@ -237,7 +237,7 @@
 
 def fleet_of(bench, zones):
     for number, zone in enumerate(zones):
-        machine = Machine(f"m-{number:03d}", bench.owner.types["box"], zone, True)
+        machine = Machine(f"m-{number:03d}", bench.owner.context.types["box"], zone, True)
         machine.up = machine.settled = True
         machine.up_at = bench.now
         machine.last_report = machine.last_answer = bench.now
@@ -250,22 +250,22 @@
     bench = Bench()
     machines = fleet_of(bench, "aaaabbbbcccc")
     owner, at = bench.owner, bench.now
-    bench.now = at + owner.lost_s + 0.1
+    bench.now = at + owner.timing.lost_s + 0.1
     lost = machines[5]
     for machine in machines:
         if machine.zone != "a" and machine is not lost:
             machine.last_report = machine.last_answer = bench.now
-    owner._scan(bench.now)
+    owner.scan(bench.now)
     assert not any(m.releasing for m in machines)
     # Once the zone speaks again, what stays silent alone goes.
     for machine in machines[:4]:
         machine.last_report = machine.last_answer = bench.now
-    owner._scan(bench.now)
+    owner.scan(bench.now)
     assert [m.name for m in machines if m.releasing] == [lost.name]
     # A zone that stays silent for several leases is given up all the same.
     for machine in machines[4:]:
-        machine.last_report = machine.last_answer = bench.now + 5 * owner.lease_s
-    owner._scan(bench.now + 5 * owner.lease_s)
+        machine.last_report = machine.last_answer = bench.now + 5 * owner.timing.lease_s
+    owner.scan(bench.now + 5 * owner.timing.lease_s)
     assert all(m.releasing for m in machines[:4])
 
 
@@ -277,8 +277,8 @@
     for number, record in ((1, young), (2, old)):
         bench.jobs.saw(bench.now, f"c/live/req-{number:06d}", record, 90)
     jobs = bench.jobs.jobs
-    assert bench.owner._startable(jobs["req-000001"], bench.now)
-    assert not bench.owner._startable(jobs["req-000002"], bench.now)
+    assert bench.owner.demand.startable(jobs["req-000001"], bench.now)
+    assert not bench.owner.demand.startable(jobs["req-000002"], bench.now)
 
 
 def test_what_is_unseen_holds_up_only_jobs_that_may_be_there():
@@ -287,7 +287,7 @@
     for number, zone in ((1, None), (2, "b"), (3, "a")):
         record = json.dumps({"spec": job(number, hall=zone)}).encode()
         bench.jobs.saw(bench.now, f"c/live/req-{number:06d}", record, 40)
-    startable = {i: bench.owner._startable(j, bench.now) for i, j in bench.jobs.jobs.items()}
+    startable = {i: bench.owner.demand.startable(j, bench.now) for i, j in bench.jobs.jobs.items()}
     assert startable == {"req-000001": False, "req-000002": True, "req-000003": False}
 
 
@@ -326,8 +326,8 @@
         probe.then(bench.now, Outcome(0))
         bench.owner.tick(bench.now)
         assert not bench.take("worker")
-        assert not bench.owner._startable(bench.job, bench.now)
-        bench.now += bench.owner.report_s
+        assert not bench.owner.demand.startable(bench.job, bench.now)
+        bench.now += bench.owner.timing.report_s
     assert machine.name in bench.owner.unsettled and not machine.settled
 
 
@@ -391,14 +391,14 @@
     bench.add(tasks=2)
     bench.jobs.saw_completions("c/ends/0", b'{"req-000001":"Aw=="}')
     assert bench.job.done_count == 2
-    bench.owner._scan(bench.now)
+    bench.owner.scan(bench.now)
     (write,) = bench.take("state")
     assert [w.get("put") for w in json.loads(write.body)["writes"]] == [None, "d/job/req-000001"]
 
 
 def test_an_owner_that_has_not_begun_does_not_keep_alive_what_may_be_cancelled():
     bench = Bench()
-    bench.owner.ready = False
+    bench.owner.state.ready = False
     task = [("req-000009/0", 7, "running", None)]
     bench.fresh_at = bench.now
     assert bench.report(task) is not None, "a moment's lag is no reason to lose a task"
