--- /dev/null
+++ b/tests/state_service.py
@@ -0,0 +1,106 @@
+"""The state service with one writer and no network, for tests of what is written there."""
+
+import json
+import random
+
+from copperpass.core.fleet_store import FleetStore, StoredFleet
+from copperpass.core.ports import Outbox, Outcome
+from copperpass.core.transactions import TransactionQueue
+from tests.simulation import State
+
+# Limits that the settings announce under `state.next`.
+
+
+COMING = {"write_rps": 15.0, "value_kb": 2.0, "txn_ops": 5}
+
+
+class Service:
+    """The state service and one writer, without a network."""
+
+    def __init__(self, **limits):
+        self.now, self.rng, self.timers = 100.0, random.Random(1), []
+        self.state = State(self)
+        self.state.drop(**limits)
+        self.out = Outbox()
+        self.fate = lambda body: "served"
+        self.late = []
+
+    def after(self, delay, action):
+        """Watches are not followed to their end here."""
+
+    def wrote(self, writes):
+        """Part of the simulation's interface."""
+
+    def win(self):
+        """A new leader: what it lists, and the version that guards its writes."""
+        self.out = Outbox()
+        self.put("c/token", {"token": self.state.revision + 1})
+        return self.state.data["c/token"][1]
+
+    def put(self, key, value):
+        self.state.transaction(
+            {"guards": [], "writes": [{"put": key, "value": value}]}, lambda status, body: None
+        )
+        assert key in self.state.data
+
+    def serve(self, call):
+        answers = []
+        self.state.handle(call.method, call.path, call.body, lambda *a: answers.append(a))
+        return answers[0]
+
+    def stored(self):
+        held = StoredFleet()
+        for key, (value, version, _) in self.state.data.items():
+            held.saw(key, json.dumps(value).encode(), version)
+        return held
+
+    def fleet_store(self, proven=True, limits_drop=True, rate=15.0, least=2048.0):
+        token = self.win()
+        held = self.stored()
+        transactions = TransactionQueue(self.out, rate, 5, 1.0)
+        made = FleetStore(
+            transactions,
+            lambda: token,
+            32768.0,
+            4 / rate,
+            12.0,
+            least,
+            5,
+            lambda: proven,
+            limits_drop,
+        )
+        made.load(held.record, held.version, held.pages)
+        made.begin(self.now)
+        return made
+
+    def step(self, fleet_store):
+        """Serve what was asked, bring the watch's news, let a moment pass."""
+        calls, self.out.calls = self.out.calls, []
+        for call in calls:
+            fate = self.fate(json.loads(call.body))
+            answer = self.serve(call) if fate in ("served", "answer lost") else (0, b"")
+            if fate == "late":
+                self.late.append(call)
+            call.then(self.now, Outcome(*answer) if fate == "served" else Outcome(0))
+        before, held = getattr(self, "seen", {}), self.stored()
+        fleet_store.saw(held.version)
+        for number in {*held.pages, *before}:
+            version = held.pages[number][1] if number in held.pages else self.state.revision
+            fleet_store.saw_page(number, version, number in held.pages)
+        self.seen = dict(held.pages)
+        self.now += 0.05
+        fleet_store.transactions.pump(self.now)
+        fleet_store.tick(self.now)
+
+    def run(self, fleet_store, seconds):
+        for _ in range(int(seconds / 0.05)):
+            self.step(fleet_store)
+
+    def truth(self):
+        """What a successor would know: bookings, machines, and which of them are up."""
+        held = self.stored()
+        reader = FleetStore(
+            TransactionQueue(Outbox(), 15.0, 5, 1.0), lambda: 0, 32768.0, 1.0, 1.0, 2048.0, 5
+        )
+        reader.load(held.record, held.version, held.pages)
+        return (dict(reader.booked), dict(reader.places), set(reader.up))
--- /dev/null
+++ b/tests/test_completion_store.py
@@ -0,0 +1,129 @@
+"""The records of ends: pages that become too large, and masks that fit no page."""
+
+import json
+
+import msgspec
+
+from copperpass import wire
+from copperpass.core.completions import CompletionStore
+from copperpass.core.jobs import JobTable, make_job, pack_done
+from copperpass.core.ports import Outcome
+from copperpass.core.transactions import TransactionQueue
+from tests import production
+from tests.simulation import job
+from tests.state_service import COMING, Service
+
+
+def ended_jobs(service, sizes):
+    """Live jobs, by their numbers of tasks."""
+    table = JobTable()
+    for n, tasks in enumerate(sizes, 1):
+        record = wire.JobRecord(spec=msgspec.convert(job(n, tasks=tasks), wire.Spec))
+        made = make_job(record, 1, service.now)
+        table.jobs[made.spec.id] = made
+    return table
+
+
+def see_ends(service, table, versions):
+    for key, (value, version, _) in service.state.data.items():
+        if key.startswith("c/ends/"):
+            table.saw_completions(key, json.dumps(value).encode())
+            versions[key] = version
+
+
+def writer(service, table):
+    versions = {}
+    see_ends(service, table, versions)
+    service.out.calls.clear()
+    token = service.state.data["c/token"][1]
+    return CompletionStore(
+        table,
+        TransactionQueue(service.out, 60.0, 5, 1.0),
+        lambda: token,
+        versions,
+        0,
+        0.8 * 2048,
+        0.1,
+        12.0,
+        0.8 * 32768,
+    )
+
+
+def gather(service, progress, seconds=3.0):
+    """Let the writer of ends write; no end that is stored may be forgotten on the way."""
+    for _ in range(int(seconds / 0.05)):
+        calls, service.out.calls = service.out.calls, []
+        for call in calls:
+            before = ends_stored(service, progress.jobs.jobs)
+            call.then(service.now, Outcome(*service.serve(call)))
+            after = ends_stored(service, progress.jobs.jobs)
+            assert all(before[i] <= after[i] for i in before)
+        service.now += 0.05
+        progress.transactions.pump(service.now)
+        progress.tick(service.now)
+
+
+def ends_stored(service, jobs):
+    """What a successor would know of each job's ends."""
+    table = ended_jobs(service, [j.spec.tasks for j in jobs.values()])
+    see_ends(service, table, {})
+    return {i: {n for n in range(j.spec.tasks) if j.is_done(n)} for i, j in table.jobs.items()}
+
+
+def test_pages_of_ends_that_are_too_large_are_broken_up_and_no_end_is_lost():
+    service = Service()
+    service.win()
+    table = ended_jobs(service, [900] * 30)
+    service.put("c/ends/0.0", {i: pack_done(bytearray(b"\xff" * 112)) for i in table.jobs})
+    progress = writer(service, table)
+    first = table.jobs["req-000001"]
+    for some in table.jobs.values():
+        some.finished.add(899)
+        progress.note(service.now, some)
+    gather(service, progress)
+    stored = ends_stored(service, table.jobs)
+    assert all(899 in ends and len(ends) == 897 for ends in stored.values())
+    assert not first.finished
+    pages = {k: v[0] for k, v in service.state.data.items() if k.startswith("c/ends/")}
+    assert max(len(json.dumps(v)) for v in pages.values()) <= 2048
+    assert sorted(i for v in pages.values() for i in v) == sorted(table.jobs)
+
+
+def test_a_mask_that_fits_no_page_is_cut_once_the_limits_have_dropped():
+    service = Service()
+    service.win()
+    table = ended_jobs(service, [100_000, 40])
+    big, small = table.jobs.values()
+    big.finished.update(range(0, 100_000, 7))
+    small.finished.add(3)
+    progress = writer(service, table)
+    for some in table.jobs.values():
+        progress.note(service.now, some)
+    gather(service, progress)
+    # Until then it is stored as older versions do, which read it so.
+    assert big.spec.id in str(service.state.data["c/ends/0.0"][0]) and not big.finished
+    service.state.drop(**COMING)
+    progress = writer(service, table)
+    big.finished.add(99_999)
+    progress.note(service.now, big)
+    gather(service, progress, 6.0)
+    expected = {*range(0, 100_000, 7), 99_999}
+    assert ends_stored(service, table.jobs) == {big.spec.id: expected, small.spec.id: {3}}
+    pages = {k: v[0] for k, v in service.state.data.items() if k.startswith("c/ends/")}
+    assert max(len(json.dumps(v)) for v in pages.values()) <= 2048
+    # A successor goes on with the parts as they are; one more end is one more write.
+    table = ended_jobs(service, [100_000, 40])
+    progress = writer(service, table)
+    gather(service, progress, 1.0)
+    big, writes = table.jobs["req-000001"], service.state.writes
+    big.finished.add(50_001)
+    progress.note(service.now, big)
+    gather(service, progress, 6.0)
+    assert ends_stored(service, table.jobs)[big.spec.id] == {*expected, 50_001}
+    assert service.state.writes - writes <= len(pages) and not big.finished
+    # An older version takes no harm from the parts: it knows no such jobs, and keeps the pages.
+    old = production.load(production.VERSION_0_2_0)
+    theirs = old.core.JobTable()
+    for key, value in pages.items():
+        theirs.saw_ends(key, json.dumps(value).encode())
+    assert not theirs.jobs
--- /dev/null
+++ b/tests/test_transactions.py
@@ -0,0 +1,61 @@
+"""The transaction queue when the state service's limits drop unannounced."""
+
+from copperpass import wire
+from copperpass.core.ports import Outcome
+from copperpass.core.transactions import APPLIED, INVALID, PLAIN, Op, TransactionQueue
+from tests.state_service import Service
+
+
+def test_refused_batches_go_one_by_one_within_the_budgets_and_teach_the_limit():
+    service = Service(txn_ops=5)
+    transactions = TransactionQueue(service.out, 60.0, 16, 1.0)
+    ends = []
+    for n in range(120):
+        value = "x" * 40000 if n == 33 else n
+        transactions.submit(
+            service.now,
+            Op(
+                {},
+                [wire.put(f"k/{n}", value)],
+                lambda now, how, rev, n=n: ends.append((n, how)),
+                999.0,
+            ),
+        )
+    for _ in range(400):
+        calls, service.out.calls = service.out.calls, []
+        assert transactions.in_flight == len(calls) <= TransactionQueue.IN_FLIGHT
+        for call in calls:
+            call.then(service.now, Outcome(*service.serve(call)))
+        service.now += 0.05
+        transactions.pump(service.now)
+    assert sorted(ends) == [(n, INVALID if n == 33 else APPLIED) for n in range(120)]
+    assert (
+        transactions.txn_ops <= 5 and service.state.too_large <= 12 and service.state.too_fast == 0
+    )
+
+
+def test_refusals_for_the_rate_slow_the_ledger_down_and_drop_nothing():
+    service = Service(write_rps=5.0)
+    transactions = TransactionQueue(service.out, 60.0, 16, 1.0)
+    ends, sent = [], 0
+    for n in range(150):
+        transactions.submit(
+            service.now,
+            Op({}, [wire.put(f"k/{n}", n)], lambda now, how, rev: ends.append(how), 999.0, PLAIN),
+        )
+    for _ in range(1200):
+        calls, service.out.calls = service.out.calls, []
+        sent += len(calls)
+        for call in calls:
+            call.then(service.now, Outcome(*service.serve(call)))
+        service.now += 0.05
+        transactions.pump(service.now)
+        if len(ends) == 150:
+            break
+    assert ends == [APPLIED] * 150
+    # Batches of up to 16 never fit into 5 a second: the pace finds what does, without a storm.
+    assert service.state.too_fast < 0.2 * sent + 60
+    slow = transactions.budget.rate
+    service.state.drop(write_rps=60.0)
+    transactions.budget.take(service.now + 120.0, 0.0)
+    assert slow < 20.0 and transactions.budget.rate == transactions.budget.full_rate
--- /dev/null
+++ b/tests/test_upgrade_frames.py
@@ -0,0 +1,118 @@
+"""Frames and records of earlier versions, as fixed bytes.
+
+The bytes were written by running the version in production (`tests/production.py`).
+"""
+
+import json
+
+import pytest
+
+from copperpass import peer, wire
+from copperpass.core.directory import Contact, Entry, Status
+from tests import production
+
+CONTACT = Contact("10.0.0.9:1", 3, 77)
+# Frames as the version in production packs them.
+FRAMES = [
+    (peer.Hello("n1"), "63700301000000026e31"),
+    (peer.Heartbeat(7, peer.NEVER), "637003020000000c0000000000000007ffffffff"),
+    (peer.PromiseRequest(7, 9), "637003030000001000000000000000070000000000000009"),
+    (peer.Promise(7, 9, True), "63700304000000110000000000000007000000000000000901"),
+    (peer.RunningCounts({"req-000001": 3}), "637003050000000f0a000000037265712d303030303031"),
+    (peer.RelayedReport(7, b"{}"), "6370030600000006000000077b7d"),
+    (peer.RelayedAnswer(7, 421, b""), "63700307000000060000000701a5"),
+    (
+        peer.GrantRequest(3, 1 << 61, 9, 12),
+        "637003080000001c0000000000000003200000000000000000000009000000000000000c",
+    ),
+    (
+        peer.Grant(3, 1 << 61, 9, 1400, 55, True, 4, (peer.Share(1, "n2", 7, 90, 12),)),
+        "637003090000004200000000000000032000000000000000000000090000057800000000000000370100"
+        "0000000000000401026e320100000007000000000000005a000000000000000c",
+    ),
+    (
+        peer.Entries(
+            3,
+            5,
+            0,
+            2,
+            (
+                Entry(
+                    "m-1", "box", "a", True, 1, 1 << 45, 2, True, False, True, False, False, CONTACT
+                ),
+                Entry("m-2", "box", "b", False, 255, 7, gone=True),
+            ),
+        ),
+        "6370030a0000006700000000000000030000000000000005000000000000000000000000000000020002"
+        "036d2d3103626f780161010000200000000000028b0a31302e302e302e393a3100000000000000030000"
+        "00000000004d036d2d3203626f780162ff00000000000000070020",
+    ),
+    (
+        peer.Statuses(
+            3,
+            5,
+            2,
+            3,
+            (
+                Status("m-1", 1 << 45, True, True, False, True, 1, False, 4.0, CONTACT),
+                Status("m-2", 7),
+            ),
+        ),
+        "6370030b0000006100000000000000030000000000000005000000000000000200000000000000030002"
+        "036d2d3100002000000000002b01408000000a31302e302e302e393a3100000000000000030000000000"
+        "00004d036d2d32000000000000000700ff00000000",
+    ),
+    (
+        peer.MachineRequests(3, 1, 12, (("req-000001", 40, 2.5),)),
+        "6370030c00000026000000000000000301000000000000000c00010a7265712d30303030303100000028"
+        "40200000",
+    ),
+]
+
+# Records as it writes them, and what reads them here.
+SPEC = (
+    '{"id":"req-000002","slot":"quick","desk":"red","form":"batch","urgency":"high","pages":3,'
+    '"cpus":4.0,"cards":0.0,"memory_gb":8.0,"master":"img-1","size_gb":0.5,"same_place":false,'
+    '"spread":false,"borrowed":true,"runtime_s":8.0,"proof_s":0.0,"flush_s":0.0,"racks":["box"],'
+    '"hall":"a","edition_s":null}'
+)
+RECORDS = [
+    ("c/lead", wire.LeadRecord, '{"member":"n0","token":1,"lease":1}'),
+    ("c/token", wire.TokenRecord, '{"token":1,"member":"n0"}'),
+    ("c/live/req-000002", wire.JobRecord, '{"spec":' + SPEC + ',"at":1100.1}'),
+    ("d/job/req-000002", wire.JobRecord, '{"final":"done","count":3}'),
+    ("c/ends/0.0", dict[str, str], '{"req-000001":"Bg=="}'),
+    (
+        "c/types",
+        wire.MachineTypes,
+        '{"racks":[{"name":"box","cpus":16.0,"memory_gb":64.0,"price":1.0,"startup_s":10.0,'
+        '"halls":["a","b","c"],"cards":0.0,"local_gb":20.0,"fetch_gb_per_s":1.0,"low_price":0.4}]}',
+    ),
+    (
+        "c/fleet",
+        wire.FleetRecord,
+        '{"places":[{"type":"box","zone":"a","spot":true,"booked":{"b-1-1":1},"fresh":["m-000001",'
+        '"m-000004","m-000005"]},{"type":"box","zone":"c","spot":true,"up":["m-000003"]}]}',
+    ),
+]
+
+
+@pytest.mark.parametrize(("frame", "packed"), FRAMES, ids=lambda v: type(v).__name__)
+def test_frames_of_the_version_in_production_go_both_ways(frame, packed):
+    assert peer.pack(frame).hex() == packed
+    assert peer.Unpacker().feed(bytes.fromhex(packed)) == [frame]
+
+
+@pytest.mark.parametrize(("key", "kind", "raw"), RECORDS, ids=[r[0] for r in RECORDS])
+def test_records_of_the_version_in_production_go_both_ways(key, kind, raw):
+    record = wire.decode(raw.encode(), kind)
+    assert record is not None
+    written = json.loads(wire.encode(record))
+    # Whatever it wrote is written back; beside it may stand only what it reads without harm.
+    assert written == {**written, **json.loads(raw)}
+    old = production.load(production.VERSION_0_2_0)
+    theirs = getattr(old.wire, getattr(kind, "__name__", ""), kind)
+    again = old.wire.decode(wire.encode(record), theirs)
+    assert json.loads(old.wire.encode(again)) == json.loads(
+        old.wire.encode(old.wire.decode(raw.encode(), theirs))
+    )
