A frame that only a later version knows is skipped, and no longer closes the link

Until now a whole frame of an unknown kind, or a known one with more bytes after its fields, closed the link like malformed bytes do. The sender connects again and sends the same, so during an upgrade to a version with one more frame every link to an older member would close in a loop. Now such a frame is skipped whole and logged once for each link. Short or undecodable payloads, another header version, lengths beyond the bound and frames before the sender's name close as before.

--- a/src/copperpass/net/peers.py
+++ b/src/copperpass/net/peers.py
@@ -26,9 +26,14 @@
         self.members, self.received = members, received
         self.unpacker = peer.Unpacker()
         self.sender = ""
+        self.told_unknown = False
 
     def dataReceived(self, data: bytes) -> None:
-        """Take bytes; anything unexpected closes the link and changes nothing."""
+        """Take bytes; anything malformed closes the link and changes nothing.
+
+        What a member of a later version sends beyond this one's knowledge is skipped: a closed link
+        would be opened again, and closed again at the next such frame.
+        """
         try:
             for frame in self.unpacker.feed(data):
                 if isinstance(frame, peer.Hello):
@@ -37,6 +42,8 @@
                     self.sender = frame.member
                 elif not self.sender:
                     raise peer.BadFrame("no hello")
+                elif isinstance(frame, peer.UnknownFrame):
+                    self._skip(frame)
                 else:
                     self.received(self.sender, frame)
         except peer.BadFrame as error:
@@ -44,6 +51,13 @@
             if self.transport is not None:
                 self.transport.abortConnection()
 
+    def _skip(self, frame: peer.UnknownFrame) -> None:
+        """Say once for each link what its sender knows and this version doesn't."""
+        if not self.told_unknown:
+            self.told_unknown = True
+            fields = {"peer": self.sender, "kind": frame.kind, "why": frame.why}
+            logger.info("unknown frame skipped", extra={"fields": fields})
+
 
 class IncomingFactory(ServerFactory):
     """Makes the receiving ends."""
--- a/src/copperpass/peer.py
+++ b/src/copperpass/peer.py
@@ -17,8 +17,8 @@
 HEADER = struct.Struct("!2sBBI")
 HELLO, BEAT, ASK, PROMISE, COUNTS, HANDED, ANSWERED = range(1, 8)
 PULL, GRANT, ENTRIES, STATUSES, WANTS = range(8, 13)
-# Older members of this version close the link on a kind that they don't know: these go only to
-# members that are proven to know them.
+# Members up to 0.3.0 close the link on a kind that they don't know: these go only to members that
+# are proven to know them. Later ones skip what they don't know.
 CALLED_OFF, TIED = 13, 14
 _BEAT = struct.Struct("!QI")
 _ASK = struct.Struct("!QQ")
@@ -32,7 +32,11 @@
 
 
 class BadFrame(Exception):
-    """Bytes that no controller of this version would send."""
+    """Bytes that no controller of this version or a later one would send."""
+
+
+class _NewerFrame(Exception):
+    """A frame that is whole, but of a kind or with fields that this version doesn't know."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,6 +179,14 @@
     zones: tuple[tuple[str, str], ...]
 
 
+@dataclass(frozen=True, slots=True)
+class UnknownFrame:
+    """What a member of a later version has sent and this one can't read: to be skipped."""
+
+    kind: int
+    why: str
+
+
 Frame = (
     Hello
     | Heartbeat
@@ -239,12 +251,18 @@
         self.at = end
         return raw.decode()
 
+    def only(self, form: struct.Struct) -> tuple[Any, ...]:
+        """The values of a payload that holds nothing else."""
+        values = self.unpack(form)
+        self.end()
+        return values
+
     def contact(self, there: bool) -> Contact | None:
         return Contact(self.text(), *self.unpack(_CONTACT)) if there else None
 
     def end(self) -> None:
         if self.at != len(self.payload):
-            raise BadFrame("long")
+            raise _NewerFrame("longer than known")
 
 
 def _pack_entry(entry: Entry) -> bytes:
@@ -423,11 +441,11 @@
         if kind == HELLO:
             return Hello(payload.decode())
         if kind == BEAT:
-            return Heartbeat(*_BEAT.unpack(payload))
+            return Heartbeat(*_Reader(payload).only(_BEAT))
         if kind == ASK:
-            return PromiseRequest(*_ASK.unpack(payload))
+            return PromiseRequest(*_Reader(payload).only(_ASK))
         if kind == PROMISE:
-            token, number, granted = _ANSWER.unpack(payload)
+            token, number, granted = _Reader(payload).only(_ANSWER)
             if granted > 1:
                 raise BadFrame("neither yes nor no")
             return Promise(token, number, bool(granted))
@@ -461,7 +479,7 @@
             return RunningCounts(running)
     except (struct.error, UnicodeDecodeError) as error:
         raise BadFrame(str(error)) from None
-    raise BadFrame(f"unknown kind {kind}")
+    raise _NewerFrame("unknown kind")
 
 
 class Unpacker:
@@ -470,10 +488,10 @@
     def __init__(self) -> None:
         self.buffer = b""
 
-    def feed(self, data: bytes) -> list[Frame]:
-        """Take bytes; returns the frames that are complete."""
+    def feed(self, data: bytes) -> list[Frame | UnknownFrame]:
+        """Take bytes; returns the frames that are complete, also those that can't be read."""
         self.buffer += data
-        frames: list[Frame] = []
+        frames: list[Frame | UnknownFrame] = []
         while len(self.buffer) >= HEADER.size:
             magic, version, kind, length = HEADER.unpack_from(self.buffer)
             if magic != MAGIC or version != VERSION:
@@ -484,5 +502,8 @@
                 break
             payload = self.buffer[HEADER.size : HEADER.size + length]
             self.buffer = self.buffer[HEADER.size + length :]
-            frames.append(_unpack(kind, payload))
+            try:
+                frames.append(_unpack(kind, payload))
+            except _NewerFrame as newer:
+                frames.append(UnknownFrame(kind, str(newer)))
         return frames
