Frames and records of 0.3.0 as fixed bytes beside those of 0.2.0; later versions' fields

Each earlier version is also run on all frames' bytes, both ways, and 0.2.0 is shown to refuse the two new ones, which is why they go only to proven members. Unknown fields at every depth of a record change nothing, an unknown entry on a page of ends hides no other, and a later version's proof counts.

--- a/tests/test_upgrade_frames.py
+++ b/tests/test_upgrade_frames.py
@@ -1,6 +1,7 @@
 """Frames and records of earlier versions, as fixed bytes.
 
-The bytes were written by running the version in production (`tests/production.py`).
+The bytes were written by running those versions (`tests/production.py`). What only a later version
+knows is met here as well.
 """
 
 import json
@@ -9,10 +10,14 @@
 
 from copperpass import peer, wire
 from copperpass.core.directory import Contact, Entry, Status
+from copperpass.core.jobs import JobTable
+from copperpass.core.ports import Outbox, Outcome
+from copperpass.core.transactions import TransactionQueue
+from copperpass.core.versions import FORMAT, VersionRegistry
 from tests import production
 
 CONTACT = Contact("10.0.0.9:1", 3, 77)
-# Frames as the version in production packs them.
+# Frames as all earlier versions pack them.
 FRAMES = [
     (peer.Hello("n1"), "63700301000000026e31"),
     (peer.Heartbeat(7, peer.NEVER), "637003020000000c0000000000000007ffffffff"),
@@ -69,7 +74,17 @@
     ),
 ]
 
-# Records as it writes them, and what reads them here.
+# Frames that 0.3.0 has added; 0.2.0 closes the link on them.
+FRAMES_0_3_0 = [
+    (peer.JobCancelled("req-000412"), "6370030d0000000a7265712d303030343132"),
+    (
+        peer.ZoneTies(3, 1, (("req-000001", "a"), ("req-000412", "b"))),
+        "6370030e0000002500000000000000030100020a7265712d30303030303101610a7265712d3030303431320162",
+    ),
+    (peer.ZoneTies(3, 0, ()), "6370030e0000000b0000000000000003000000"),
+]
+
+# Records as 0.2.0 writes them, and what reads them here.
 SPEC = (
     '{"id":"req-000002","slot":"quick","desk":"red","form":"batch","urgency":"high","pages":3,'
     '"cpus":4.0,"cards":0.0,"memory_gb":8.0,"master":"img-1","size_gb":0.5,"same_place":false,'
@@ -97,22 +112,109 @@
 ]
 
 
-@pytest.mark.parametrize(("frame", "packed"), FRAMES, ids=lambda v: type(v).__name__)
-def test_frames_of_the_version_in_production_go_both_ways(frame, packed):
+# Records that 0.3.0 has added or filled differently.
+GANG_SPEC = (
+    '{"id":"req-000001","slot":"quick","desk":"red","form":"ensemble","urgency":"high","pages":4,'
+    '"cpus":8.0,"cards":0.0,"memory_gb":8.0,"master":"img-1","size_gb":0.5,"same_place":true,'
+    '"spread":false,"borrowed":true,"runtime_s":20.0,"proof_s":5.0,"flush_s":1.0,"racks":null,'
+    '"hall":null,"edition_s":null}'
+)
+RECORDS_0_3_0 = [
+    ("c/live/req-000001", wire.JobRecord, '{"spec":' + GANG_SPEC + ',"at":1100.2}'),
+    (
+        "c/fleet/0",
+        wire.FleetRecord,
+        '{"places":[{"type":"box","zone":"a","spot":true,"up":["m-000001","m-000002"]},'
+        '{"type":"box","zone":"c","spot":true,"booked":{"b-1-1":1},"fresh":["m-000005"]}]}',
+    ),
+    ("c/ends/0.s0", dict[str, str], '{"req-000001:0":"CAI="}'),
+    ("c/ends/0.s1", dict[str, str], '{"req-000001:1179":""}'),
+    ("v/n0", wire.VersionRecord, '{"version":"0.3.0","format":1}'),
+]
+
+
+@pytest.mark.parametrize(("frame", "packed"), FRAMES + FRAMES_0_3_0, ids=lambda v: type(v).__name__)
+def test_frames_of_earlier_versions_go_both_ways(frame, packed):
     assert peer.pack(frame).hex() == packed
     assert peer.Unpacker().feed(bytes.fromhex(packed)) == [frame]
 
 
-@pytest.mark.parametrize(("key", "kind", "raw"), RECORDS, ids=[r[0] for r in RECORDS])
-def test_records_of_the_version_in_production_go_both_ways(key, kind, raw):
+@pytest.mark.parametrize("version", [production.VERSION_0_2_0, None], ids=["0.2.0", "0.3.0"])
+def test_earlier_versions_read_these_bytes_and_write_them(version):
+    old = production.load(version)
+    for frame, packed in FRAMES + FRAMES_0_3_0:
+        unpacker = old.peer.Unpacker()
+        if version and (frame, packed) in FRAMES_0_3_0:
+            # Why such frames go only to members that are proven to know them.
+            with pytest.raises(old.peer.BadFrame):
+                unpacker.feed(bytes.fromhex(packed))
+            continue
+        (read,) = unpacker.feed(bytes.fromhex(packed))
+        assert old.peer.pack(read).hex() == packed
+
+
+@pytest.mark.parametrize(
+    ("version", "key", "kind", "raw"),
+    [
+        *((production.VERSION_0_2_0, *record) for record in RECORDS),
+        *((None, *record) for record in RECORDS + RECORDS_0_3_0),
+    ],
+    ids=[f"0.2.0-{r[0]}" for r in RECORDS] + [f"0.3.0-{r[0]}" for r in RECORDS + RECORDS_0_3_0],
+)
+def test_records_of_earlier_versions_go_both_ways(version, key, kind, raw):
     record = wire.decode(raw.encode(), kind)
     assert record is not None
     written = json.loads(wire.encode(record))
     # Whatever it wrote is written back; beside it may stand only what it reads without harm.
     assert written == {**written, **json.loads(raw)}
-    old = production.load(production.VERSION_0_2_0)
+    old = production.load(version)
     theirs = getattr(old.wire, getattr(kind, "__name__", ""), kind)
     again = old.wire.decode(wire.encode(record), theirs)
     assert json.loads(old.wire.encode(again)) == json.loads(
         old.wire.encode(old.wire.decode(raw.encode(), theirs))
     )
+
+
+def with_more(value):
+    """A record in which each object with named fields has one that nobody knows."""
+    if isinstance(value, list):
+        return [with_more(v) for v in value]
+    if not isinstance(value, dict):
+        return value
+    # Maps from names that are data have no fields.
+    more = {k: v if k == "booked" else with_more(v) for k, v in value.items()}
+    return {**more, "later": {"field": [1, None]}}
+
+
+@pytest.mark.parametrize(
+    ("kind", "raw"),
+    [r[1:] for r in RECORDS + RECORDS_0_3_0 if not r[0].startswith("c/ends/")],
+    ids=[r[0] for r in RECORDS + RECORDS_0_3_0 if not r[0].startswith("c/ends/")],
+)
+def test_fields_that_only_a_later_version_knows_are_ignored(kind, raw):
+    later = json.dumps(with_more(json.loads(raw)))
+    assert later.count("later") >= 1
+    assert wire.decode(later.encode(), kind) == wire.decode(raw.encode(), kind)
+
+
+def test_an_entry_of_ends_that_only_a_later_version_knows_hides_no_other():
+    # A page of ends is a map of text: whatever another version calls its entries, the others count.
+    table = JobTable()
+    spec = json.loads(GANG_SPEC)
+    table.saw(0.0, "c/live/req-000001", json.dumps({"spec": spec}).encode(), 5)
+    table.saw_completions("c/ends/0.0", b'{"later:x:y":"?","req-000001":"Bg=="}')
+    assert table.jobs["req-000001"].done_count == 2
+
+
+def test_a_member_of_a_later_version_counts_as_proven():
+    # Otherwise, after a roll onwards, the fleet's records and frames would fall back for ever.
+    out = Outbox()
+    registry = VersionRegistry("n0", ["n1"], out, TransactionQueue(out, 60.0, 16, 1.0), 1.0, 1.0)
+    registry.tick(0.0)
+    for call in out.calls:
+        member = call.path.rpartition("/")[2]
+        value = {"version": "9.0.0", "format": FORMAT + 1, "later": 1}
+        if member == "n1":
+            item = {"path": f"v/{member}", "value": value, "stamp": 7}
+            call.then(0.1, Outcome(200, json.dumps(item).encode()))
+    assert registry.proven("n1") and not registry.proven("n0")
