Rolls from 0.3.0 as well as from 0.2.0; gangs whose owner changes version

Each roll is played from both versions: the six orders, processes that die before and after their turn with leaders and owners of both versions (now asserted for each pool), limits that drop in mid-roll with and without state.next, a cut between versions and an outage. The cases about the move of the fleet's record stay with 0.2.0 alone, since 0.3.0 has moved before; for 0.3.0 the roll asserts that the pages stay. From 0.3.0, a gang that waits, runs, saves or is cancelled while two of its machines hang passes to an owner of the other version, in both directions, and no task of a begun attempt starts again.

--- a/tests/test_rolling_upgrade.py
+++ b/tests/test_rolling_upgrade.py
@@ -9,13 +9,16 @@
 import pytest
 
 from tests import production
-from tests.simulation import Simulation, job
+from tests.simulation import Simulation, gang, job
 from tests.state_service import COMING
 
+OLD = {"0.2.0": production.VERSION_0_2_0, "0.3.0": None}
+both = pytest.mark.parametrize("old", sorted(OLD))
 
-def rolled(order, seed, coming=COMING, parted=False):
-    """A simulation in which every member runs the version in production, and jobs run."""
-    old = production.load(production.VERSION_0_2_0)
+
+def rolled(order, seed, old, coming=COMING, parted=False):
+    """A simulation in which every member runs an earlier version, and jobs run."""
+    old = production.load(OLD[old])
     simulation = Simulation(seed, coming=coming, parted=parted, versions=dict.fromkeys(order, old))
     simulation.run_until(simulation.leader)
     for n in range(1, 5):
@@ -45,29 +48,45 @@
     simulation.check_sums()
 
 
+@both
 @pytest.mark.parametrize("order", list(itertools.permutations(["n0", "n1", "n2"])), ids="-".join)
-def test_a_roll_in_each_order_while_jobs_run_and_limits_that_drop_after_the_last_turn(order):
-    simulation = rolled(order, seed=sum(map(ord, order[0])) + 7 * int(order[1][1]))
+def test_a_roll_in_each_order_while_jobs_run_and_limits_that_drop_after_the_last_turn(order, old):
+    simulation = rolled(order, seed=sum(map(ord, order[0])) + 7 * int(order[1][1]), old=old)
     for number, name in enumerate(order, 5):
         simulation.submit(job(number, tasks=3, run_s=20.0))
         turn(simulation, name)
         simulation.run(5.0)
-        if len(simulation.versions):
+        paged = any(k.startswith("c/fleet/") for k in simulation.state.data)
+        if old == "0.3.0":
+            # Moved long ago, and never back.
+            assert paged and "c/fleet" not in simulation.state.data
+        elif len(simulation.versions):
             # Not proven by all: the one record counts, as the older version wrote it.
-            assert "c/fleet" in simulation.state.data
-            assert not any(k.startswith("c/fleet/") for k in simulation.state.data)
+            assert not paged and "c/fleet" in simulation.state.data
     simulation.state.drop(**COMING)
     settle(simulation, range(1, 8))
     assert simulation.state.too_large <= 3
 
 
-def test_processes_that_die_before_and_after_their_turn_and_leaders_of_both_versions():
-    simulation = rolled(["n0", "n1", "n2"], seed=3, parted=True)
-    led, rng = set(), random.Random(5)
+def owners(simulation):
+    """Who owns each pool at this moment."""
+    return {
+        scheduler.pool: name
+        for name, node in simulation.nodes.items()
+        for scheduler in node.schedulers
+        if node.grant_client.entitled(simulation.now)
+    }
+
+
+@both
+def test_processes_that_die_before_and_after_their_turn_and_leaders_of_both_versions(old):
+    simulation = rolled(["n0", "n1", "n2"], seed=3, old=old, parted=True)
+    led, owned, rng = set(), set(), random.Random(5)
     for number, name in enumerate(["n1", "n2", "n0"], 5):
         # Before its turn it comes back old; after it, new, whoever leads meanwhile.
         simulation.crash(name, 1.0)
         simulation.run(4.0)
+        owned |= {(p, n in simulation.versions) for p, n in owners(simulation).items()}
         turn(simulation, name, 3.0)
         simulation.submit(job(number, team="blue", tasks=3, run_s=20.0))
         simulation.run(4.0)
@@ -77,16 +96,20 @@
                 led.add((leader, leader in simulation.versions))
                 simulation.crash(leader, rng.uniform(0.5, 3.0))
             simulation.run(5.0)
+            owned |= {(p, n in simulation.versions) for p, n in owners(simulation).items()}
+            simulation.check_owners()
         simulation.cut("n0", "n1")
         simulation.run(2.0)
         simulation.heal()
     simulation.state.drop(**COMING)
-    assert {old for _, old in led} == {True, False}
+    assert {former for _, former in led} == {True, False}
+    for pool in (0, 1):
+        assert {former for p, former in owned if p == pool} == {True, False}
     settle(simulation, range(1, 8))
 
 
 def test_proof_is_a_key_of_each_member_and_anything_less_means_old():
-    simulation = rolled(["n0", "n1", "n2"], seed=4)
+    simulation = rolled(["n0", "n1", "n2"], seed=4, old="0.2.0")
     for name in ("n0", "n1", "n2"):
         simulation.versions.pop(name)
     # Two are new, the third's key is doubtful: whoever leads keeps to the old form.
@@ -108,7 +131,8 @@
 @pytest.mark.parametrize("step", range(4))
 @pytest.mark.parametrize("applied", [True, False], ids=["applied", "refused"])
 def test_limits_drop_in_mid_move_and_the_leader_dies_there(step, applied):
-    simulation = rolled(["n0", "n1", "n2"], seed=10 + step)
+    # From 0.2.0 only: 0.3.0 has moved before.
+    simulation = rolled(["n0", "n1", "n2"], seed=10 + step, old="0.2.0")
     seen, handle = [], simulation.state.transaction
 
     def transaction(txn, reply):
@@ -136,3 +160,142 @@
         simulation.run(4.0)
     settle(simulation, range(1, 5))
     assert seen
+
+
+@both
+@pytest.mark.parametrize("coming", [COMING, None], ids=["announced", "unannounced"])
+def test_limits_drop_in_mid_roll(coming, old):
+    # Guards both versions' writers: what one learns of the limits, the other must learn by itself.
+    simulation = rolled(["n0", "n1", "n2"], seed=31, old=old, coming=coming)
+    for number, name in enumerate(["n2", "n0", "n1"], 5):
+        turn(simulation, name)
+        simulation.submit(job(number, team="blue", tasks=3, run_s=15.0))
+        simulation.run(4.0)
+        if number == 5:
+            simulation.state.drop(**COMING)
+        leader = simulation.leader()
+        if leader:
+            # Whoever leads next meets the limits afresh.
+            simulation.crash(leader, 1.0)
+        simulation.run(4.0)
+    settle(simulation, range(1, 8))
+
+
+@both
+def test_a_cut_and_an_outage_while_both_versions_serve(old):
+    simulation = rolled(["n0", "n1", "n2"], seed=32, old=old, parted=True)
+    turn(simulation, "n0")
+    simulation.run(5.0)
+    # New and old apart; then, with one of each left to promise, the state service is out.
+    simulation.cut("n0", "n1")
+    simulation.cut("n0", "n2")
+    simulation.run(4.0)
+    simulation.heal()
+    turn(simulation, "n2")
+    simulation.run(6.0)
+    starts = simulation.starts
+    simulation.outage(15.0)
+    simulation.check_owners()
+    assert simulation.starts >= starts
+    simulation.submit(job(5, team="blue", tasks=3, run_s=15.0))
+    simulation.run(4.0)
+    turn(simulation, "n1")
+    settle(simulation, range(1, 6))
+
+
+# -- gangs -----------------------------------------------------------------------------
+
+
+def count(simulation, *states):
+    """How many tasks are in one of these states on the machines."""
+    return sum(
+        mark["state"] in states for w in simulation.cloud.workers() for mark in w.tasks.values()
+    )
+
+
+def forbid_used_attempts(simulation):
+    """A task of an attempt that has begun breaks the rules if it starts again."""
+    make = simulation.gang
+
+    def gang_of(job_id, attempt):
+        found = make(job_id, attempt)
+        if found.started:
+            simulation.broken.append(f"attempt_again: {job_id} {attempt}")
+        return found
+
+    simulation.gang = gang_of
+
+
+def owned_by_version(new):
+    """0.3.0 and this version: one member of one of them owns a pool, and the rest is the other.
+
+    Returns the simulation, the pool and its owner.
+    """
+    old = production.load()
+    simulation = Simulation(41, parted=True, versions=dict.fromkeys(["n0", "n1", "n2"], old))
+    forbid_used_attempts(simulation)
+    simulation.run_until(lambda: len(owners(simulation)) == 2)
+    owner = "n1" if new else owners(simulation)[0]
+    for name in simulation.names:
+        if (name == owner) == new:
+            turn(simulation, name)
+    simulation.run(5.0)
+    for _ in range(6):
+        pool = next((p for p, n in owners(simulation).items() if n == owner), None)
+        if pool is not None:
+            break
+        for name in set(owners(simulation).values()):
+            simulation.crash(name, 3.0)
+        simulation.run(8.0)
+    assert (owner not in simulation.versions) == new
+    assert all((n in simulation.versions) == new for n in simulation.names if n != owner)
+    return simulation, pool, owner
+
+
+@pytest.mark.parametrize("new", [False, True], ids=["to-new", "to-old"])
+@pytest.mark.parametrize("state", ["gathering", "running", "flushing", "cancelled"])
+def test_a_gang_whose_owner_changes_version(state, new):
+    # Guards what one version concludes from the other's attempts: the gang must finish whole, under
+    # an attempt that nobody has begun before, and a cancelled one must go whole.
+    simulation, pool, owner = owned_by_version(new)
+    team = next(t for t, p in simulation.nodes[owner].pools.items() if p == pool)
+    simulation.submit(gang(1, team=team, cpus=12.0, run_s=30.0, flush_s=3.0))
+    if state == "gathering":
+        simulation.fetch_s["req-000001/1"] = 10.0
+    wanted = "gathering" if state == "gathering" else "running"
+    simulation.run_until(lambda: count(simulation, wanted) >= (3 if wanted == "gathering" else 4))
+    assert owners(simulation)[pool] == owner
+    starts = simulation.starts
+    if state == "flushing":
+        simulation.run(7.0)
+        victim = next(w for w in simulation.cloud.workers() if w.in_state("running"))
+        victim.notice = 10.0
+        simulation.after(10.0, lambda: simulation.cloud.take(victim.name))
+        simulation.run_until(lambda: count(simulation, "flushing"), 10)
+    if state == "cancelled":
+        # Some tasks are told to stop, the others not yet.
+        for worker in [w for w in simulation.cloud.workers() if w.tasks][:2]:
+            worker.hang(6.0)
+        user = simulation.cancel("req-000001", next(n for n in simulation.names if n != owner))
+        simulation.run_until(lambda: user.status == 200, 5)
+        simulation.run(0.3)
+    if new:
+        simulation.crash(owner, 8.0)
+    else:
+        turn(simulation, owner, 8.0)
+    simulation.run_until(lambda: owners(simulation).get(pool, owner) != owner, 10)
+    assert (owners(simulation)[pool] in simulation.versions) == new
+    simulation.run(10.0)
+    for name in list(simulation.versions):
+        turn(simulation, name)
+        simulation.run(4.0)
+    if state == "cancelled":
+        simulation.run_until(lambda: not simulation.gangs or not count(simulation, wanted), 30)
+        simulation.check_cancelled()
+        assert len(simulation.gangs) == 1 and simulation.told["req-000001"] == "withdrawn"
+    else:
+        settle(simulation, [1])
+    if state == "running":
+        assert simulation.starts == starts and len(simulation.gangs) == 1
+    assert not simulation.broken
+    simulation.check_sums()
