A task that is done while another attempt of it has a place counts once

Job.waiting took such a task off twice, once as done and once as placed. So one task that waits beside it was hidden: no round started it and no machine was asked for, for as long as the other attempt ran. It comes about when an end that was stored late, or reported by another machine, meets an attempt taken over by a new owner. The test brings it about and failed before.

--- a/src/copperpass/core/jobs.py
+++ b/src/copperpass/core/jobs.py
@@ -131,7 +131,9 @@
 
     def waiting(self) -> int:
         """How many tasks are neither placed nor done."""
-        return self.spec.tasks - self.done_count - len(self.placed) - len(self.finished)
+        # A task may have ended under one attempt while another still has a place.
+        twice = sum(1 for i in self.placed if i in self.finished or self.is_done(i))
+        return self.spec.tasks - self.done_count - len(self.placed) - len(self.finished) + twice
 
     def ended(self) -> bool:
         """Whether every task has ended, stored or not."""
--- a/tests/test_pool_scheduler.py
+++ b/tests/test_pool_scheduler.py
@@ -424,3 +424,24 @@
     assert len(json.loads(call.body)["orders"]) == 1, "it doesn't wait beside room"
     bench.owner.round(bench.now)
     assert not bench.take("worker"), "the rest of the room is still held"
+
+
+def test_a_task_that_is_done_while_another_attempt_of_it_is_placed_counts_once():
+    # Guards the tasks beside it: counted twice, it hides one that waits, for as long as the other
+    # attempt runs, although there is room.
+    bench = Bench()
+    bench.add(tasks=2)
+    # An attempt of task 0 runs here whose end another attempt has brought, as a late write shows.
+    bench.report([("req-000001/0", 5, "running", None)])
+    assert bench.job.placed == {0: "m-1"}
+    bench.jobs.saw_completions("c/ends/0.0", json.dumps({"req-000001": "AQ=="}).encode())
+    assert bench.job.is_done(0) and 0 in bench.job.placed
+    assert bench.job.waiting() == 1
+    bench.owner.round(bench.now)
+    (call,) = bench.take("worker")
+    assert [(o["verb"], o["page"]) for o in json.loads(call.body)["orders"]] == [
+        ("run", "req-000001/1")
+    ]
+    # The same with an end that is reported and not stored.
+    bench.job.finished.add(1)
+    assert bench.job.waiting() == 0 and bench.job.ended()
