Pages of the fleet follow a limit on values that drops without notice

Without state.next a page was written again for ever in the size that the service refuses with 400, so no booking and no mark was stored any more. As completions and the transaction queue do, the fleet now learns: several pages refused together go in halves, a single page teaches half of its size, is broken up, and its bookings wait for that instead of failing. A page of a single item can't be broken up: its booking is refused as before. Both tests failed before.

--- a/src/copperpass/core/fleet_store.py
+++ b/src/copperpass/core/fleet_store.py
@@ -47,6 +47,8 @@
 PAGE_PART = 0.8
 # How many writes' gaps a removal waits for others to share its write.
 LAZY_GAPS = 8
+# The least bytes that a page is thought to have room for, however often values are refused.
+LEAST_PAGE_BYTES = 512
 # What a page holds of a place, machine or booking besides its words, and of a booking's count.
 PLACE_BYTES, ITEM_BYTES, COUNT_BYTES = 72, 4, 4
 # The shortest name that is expected of a machine that a booking may bring.
@@ -237,7 +239,7 @@
         What moves stays on it until it is stored elsewhere, and only then is it written smaller.
         """
         for name, place in list(page.items.items()):
-            if page.size <= self.page_room:
+            if page.size <= self.page_room or len(page.items) == 1:
                 return
             page.drop(name, self._item(name))
             page.leaving[name] = place
@@ -573,9 +575,10 @@
             # Pages count only without it: no write of theirs may come to stand beside it.
             guards[FLEET] = 0
         writes: list[dict[str, Any]] = []
-        size = 0
+        size = largest = 0
         for page in due:
             value = msgspec.to_builtins(self._record(page.items))
+            largest = max(largest, len(wire.encode(value)))
             write = wire.put(page.key, value)
             size += len(wire.encode(write)) + len(page.key) + PLACE_BYTES
             if writes and size > wire.MAX_BODY * 0.8:
@@ -587,11 +590,12 @@
 
         def then(n: float, how: str, revision: int) -> None:
             self.writing = False
+            learnt = how == INVALID and self._refused(pages[0][0], largest, len(pages))
             for page, waits, names in pages:
                 if how == APPLIED:
                     page.version = max(page.version, revision)
                     self._page_stored(n, names, marked, waits)
-                elif self.moving or how == CONFLICT:
+                elif self.moving or how == CONFLICT or learnt:
                     # Not the truth yet, or certainly not stored: the bookings needn't fail.
                     page.waits = [*waits, *page.waits]
                     page.touch(n)
@@ -606,6 +610,23 @@
         marked = set(self.up)
         self._submit(now, Op(guards, writes, then, now + self.deadline_s, PLAIN))
 
+    def _refused(self, page: Page, size: int, count: int) -> bool:
+        """The state service has refused pages as invalid; returns whether that taught anything.
+
+        Either its limits have dropped without notice, or the write can never be stored. Several
+        pages say only that there were too many or too much: they go in smaller parts. One page of
+        that size says that values must be smaller, if there is anything to take from it.
+        """
+        if count > 1:
+            self.txn_ops = count // 2
+            return True
+        room = max(LEAST_PAGE_BYTES, size // 2)
+        if len(page.items) < 2 or room >= size:
+            return False
+        self.page_room = min(self.page_room, PAGE_PART * room)
+        self._relieve(page)
+        return True
+
     def _page_stored(
         self, now: float, names: set[str], marked: set[str], waits: list[Wait]
     ) -> None:
--- a/tests/test_fleet_store.py
+++ b/tests/test_fleet_store.py
@@ -331,3 +331,57 @@
         day.fleet_store.up,
     )
     assert day.service.state.too_large <= 2
+
+
+def test_pages_follow_limits_that_drop_unannounced():
+    # Guards a fleet whose pages were filled when values could be larger: without `state.next` only
+    # refusals say so, and a page that is refused for ever stores neither bookings nor marks.
+    service = Service()
+    fleet_store = service.fleet_store(limits_drop=False, least=32768.0)
+    fill(service, fleet_store, 400)
+    service.run(fleet_store, 8.0)
+    assert service.state.largest > 4096
+    service.state.drop(value_kb=2.0, txn_ops=5)
+    refused, sent, marked = service.state.too_large, [], set()
+    fleet_store.txn_ops = 16
+    fleet_store.on_stored = lambda now, names: marked.update(names)
+    for number, place in enumerate(PLACES):
+        fleet_store.book(service.now, f"b-9-{number}", place, 3, lambda n, ok: sent.append(ok))
+        fleet_store.came_up(service.now, f"m-9{number}", place)
+    for name in sorted(n for n in fleet_store.places if n.startswith("m-0"))[::7]:
+        fleet_store.gone(service.now, name)
+    truth = service.truth()
+    for _ in range(1200):
+        service.step(fleet_store)
+        _, places, up = service.truth()
+        # Whatever breaks up on the way, nothing that is still wanted is forgotten.
+        assert set(fleet_store.places) & set(truth[1]) <= set(places)
+        assert marked <= up
+    assert sent == [True] * len(PLACES) and {f"m-9{n}" for n in range(len(PLACES))} <= marked
+    assert service.truth() == (fleet_store.booked, fleet_store.places, fleet_store.up)
+    assert service.state.too_large - refused <= 12
+    # A successor starts from the settings and goes on with the pages as they are.
+    successor = service.fleet_store(limits_drop=False, least=32768.0)
+    successor.came_up(service.now, "m-10", PLACES[0])
+    service.run(successor, 20.0)
+    assert "m-10" in service.truth()[2]
+
+
+def test_a_page_of_one_item_that_no_value_can_hold_is_not_moved_around_for_ever():
+    service = Service()
+    fleet_store = service.fleet_store(limits_drop=False, least=32768.0)
+    service.state.drop(value_kb=0.5)
+    sent, pages, request = [], len(fleet_store.pages), "b" * 600
+
+    def then(now, ok):
+        sent.append(ok)
+        fleet_store.ended(now, request, [])
+
+    fleet_store.book(service.now, request, PLACES[0], 1, then)
+    service.run(fleet_store, 10.0)
+    # Its booker is told, may not send it and lets it go; what else there is finds a page.
+    assert sent == [False] and len(fleet_store.pages) <= pages + 1
+    assert service.state.too_large <= 2
+    fleet_store.came_up(service.now, "m-1", PLACES[1])
+    service.run(fleet_store, 10.0)
+    assert "m-1" in service.truth()[2]
