Ends that an earlier owner writes late are kept when their record is taken into use

Under one token an owner may follow another, and a write of the first may be carried out after the second has begun. The view then counts its ends as stored, so their machines forget them. But the second owner, whose first write to that key is refused for the version, wrote its own ends over them with the next: a later owner would have run those tasks again. The new segment test failed before. Now a segment avoids a key that holds another job's part, and a page of whole masks waits until what it says of jobs of other pages is stored there, as in any move.

Across terms the token in the guards refuses such a write at all: the other test fails without it.

--- a/src/copperpass/core/completions.py
+++ b/src/copperpass/core/completions.py
@@ -217,21 +217,31 @@
         job_id, step = job.spec.id, self._segment_bytes()
         # A page that holds another cut's part of this job is left alone: its facts count.
         found = self.found.get(job_id, {})
-        taken = {key for held in self.found.values() for key in held.values()}
-        taken |= {p.key for held in self.segments.values() for p in held} | set(self.free)
-        fresh = (
-            key for n in itertools.count() if (key := f"{self.prefix}{SEGMENT}{n}") not in taken
-        )
         pages = self.segments[job_id] = []
         for offset in range(0, len(job.done), step):
-            key = found.get(offset) or (self.free.pop() if self.free else next(fresh))
-            page = Page(key)
+            page = Page(found.get(offset) or (self.free.pop() if self.free else self._new_key()))
             page.jobs[job_id] = job
             page.part = slice(offset, offset + step)
             if any(job.done[page.part]):
                 page.since = 0.0
             pages.append(page)
 
+    def _new_key(self) -> str:
+        """A key for a segment that holds no other."""
+        taken = {key for held in self.found.values() for key in held.values()}
+        taken |= {p.key for held in self.segments.values() for p in held} | set(self.free)
+        keys = (f"{self.prefix}{SEGMENT}{n}" for n in itertools.count())
+        return next(key for key in keys if key not in taken and key not in self.jobs.pages)
+
+    def _avoid(self, page: Page) -> None:
+        """Give a segment another key if an earlier owner has stored another job's part there."""
+        for entry in self.jobs.pages.get(page.key, ()):
+            job_id, offset = split_segment(entry)
+            if job_id in self.jobs.jobs and job_id not in page.jobs:
+                self.found.setdefault(job_id, {})[offset] = page.key
+                page.key, page.version = self._new_key(), 0
+                return
+
     def _resize(self, page: Page) -> None:
         """A page was refused for its size."""
         self.most_room = self.room
@@ -274,18 +284,33 @@
             noted[job_id] = (job, ends)
         return noted
 
-    def _write(self, now: float, page: Page) -> None:
-        page.writing, page.since = True, None
+    def _take_late(self, now: float, page: Page) -> None:
+        """Keep ends that an earlier owner stored here and the view brought after our beginning.
+
+        A record written without them would lose them, although their machines may have been told
+        to forget them. What belongs to other pages is stored there first.
+        """
+        if page.part is not None:
+            self._avoid(page)
+            return
         for job_id in self.jobs.pages.get(page.key, ()):
-            # Ends stored by an earlier owner that the view brought later than our beginning: a
-            # record written without them would lose them.
             job = self.jobs.jobs.get(job_id)
-            if job is None or job_id in self.page_of or job_id in self.segments:
+            if job is None or job_id in page.gone or job_id in page.jobs:
                 continue
-            if page.part is None and page.size + _size(job) <= self.room:
+            known = job_id in self.page_of or job_id in self.segments
+            if not known and page.size + _size(job) <= self.room:
                 self._put(job, page)
-            else:
+                continue
+            if not known:
                 self.note(now, job)
+            segments = self.segments.get(job_id)
+            self._leave(job_id, page, segments or [self.page_of[job_id]])
+
+    def _write(self, now: float, page: Page) -> None:
+        self._take_late(now, page)
+        if page.leaving:
+            return
+        page.writing, page.since = True, None
         noted = self._noted(page)
         jobs, gone = set(page.jobs), dict(page.gone)
         version = max(page.version, self.versions.get(page.key, 0))
--- a/tests/test_completion_store.py
+++ b/tests/test_completion_store.py
@@ -127,3 +127,81 @@
     for key, value in pages.items():
         theirs.saw_ends(key, json.dumps(value).encode())
     assert not theirs.jobs
+
+
+def late_segments(service, same_term):
+    """An earlier owner's segments of job 1 arrive while a new owner cuts job 2 into segments.
+
+    Returns the new owner's jobs once it has written all it knows.
+    """
+    service.state.drop(**COMING)
+    tasks = [40_000, 40_000]
+    before = ended_jobs(service, tasks)
+    earlier = writer(service, before)
+    earlier.most_room = earlier.room
+    first = before.jobs["req-000001"]
+    first.finished.update(range(0, 20_000, 3))
+    earlier.note(service.now, first)
+    earlier.tick(service.now + 1.0)
+    late, service.out.calls = service.out.calls, []
+    assert late
+    if not same_term:
+        service.win()
+    table = ended_jobs(service, tasks)
+    owner = writer(service, table)
+    owner.most_room = owner.room
+    second = table.jobs["req-000002"]
+    second.finished.update(range(0, 40_000, 5))
+    owner.note(service.now, second)
+    refused = [service.serve(call)[0] for call in late]
+    see_ends(service, table, owner.versions)
+    gather(service, owner, 6.0)
+    return table, refused
+
+
+def test_segments_that_an_earlier_owner_writes_late_are_not_overwritten():
+    # An owner may follow another under the same token, which then refuses nothing: the ends that
+    # the watch shows as stored must not go, or a later owner would run those tasks again.
+    service = Service()
+    service.win()
+    table, refused = late_segments(service, same_term=True)
+    assert 200 in refused
+    seen = {i: {n for n in range(40_000) if j.is_done(n)} for i, j in table.jobs.items()}
+    assert seen["req-000001"] and len(seen["req-000002"]) == 8000
+    assert ends_stored(service, table.jobs) == seen
+
+
+def test_ends_of_an_earlier_term_are_refused_when_they_come_late():
+    # Guards the token in the records of ends. Their keys' versions alone would let such a write in
+    # wherever the new owner has not written yet.
+    service = Service()
+    service.win()
+    table, refused = late_segments(service, same_term=False)
+    assert set(refused) == {409}
+    assert not ends_stored(service, table.jobs)["req-000001"]
+
+
+def test_a_page_that_an_earlier_owner_writes_late_goes_only_when_its_ends_are_stored_elsewhere():
+    # As above, with whole masks: the late page says more of a job than the page it has by now.
+    service = Service()
+    service.win()
+    table = ended_jobs(service, [40, 40])
+    owner = writer(service, table)
+    first, second = table.jobs.values()
+    first.finished.add(1)
+    owner.note(service.now, first)
+    gather(service, owner, 1.0)
+    service.put("c/ends/0.1", {first.spec.id: "IA=="})
+    see_ends(service, table, owner.versions)
+    assert first.is_done(5)
+    page = owner._page("c/ends/0.1")
+    owner._put(second, page)
+    second.finished.add(2)
+    owner.note(service.now, second)
+    gather(service, owner, 3.0)
+    assert ends_stored(service, table.jobs) == {first.spec.id: {1, 5}, second.spec.id: {2}}
+    # Nothing waits for anything any more: further ends are stored as ever.
+    first.finished.add(7)
+    owner.note(service.now, first)
+    gather(service, owner, 2.0)
+    assert ends_stored(service, table.jobs)[first.spec.id] == {1, 5, 7} and not first.finished
