Tests of the token in campaigns, of doubtful campaigns, and of pages with a single item

The seeded model of the election passed without the token among a campaign's conditions, and without the note of a campaign that has had no answer: it looks for two authorities, and what these keep away is a counter that goes back and a promise that a restart forgets. Both are now tested by hand. A page of one item larger than a page's room was given another number by each new leader.

--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from copperpass import peer, wire
 from copperpass import settings as settings_module
 from copperpass.core.authority import Authority, Times, times_of
 from copperpass.core.ports import Outbox, Outcome
@@ -216,3 +217,60 @@
         model.step()
     assert model.nodes[leader].entitled(model.clock(leader)), "no need to wait for the key's end"
     assert model.nodes[leader].token > before
+
+
+def campaign_on_its_way():
+    """A model, a member whose campaign is sent and not carried out, its time and that call."""
+    model = Model(5)
+    node = model.nodes["a"]
+    node.known = True
+    now = node.next_campaign + 1.0
+    node.tick(now)
+    (asked,) = node.out.calls
+    node.out.calls.clear()
+    model.state.handle(
+        asked.method, asked.path, asked.body, lambda s, b: asked.then(now, Outcome(s, b))
+    )
+    (sent,) = node.out.calls
+    node.out.calls.clear()
+    return model, node, now, sent
+
+
+def promises(node, now, token=9):
+    node.out.frames.clear()
+    node.received(now, "b", peer.PromiseRequest(token, 1))
+    ((_, answer),) = node.out.frames
+    return answer.granted
+
+
+def test_a_late_campaign_does_not_set_the_counter_back():
+    # Guards the token in the campaign's conditions: the key's absence alone lets it in after others
+    # have led, and the next winner would command under a token that was used before.
+    model, _, _, sent = campaign_on_its_way()
+    for token in (1, 2):
+        won = [wire.put("c/lead", {"member": "b", "token": token, "lease": 77})]
+        won.append(wire.put("c/token", {"token": token, "member": "b"}))
+        model.state.transaction({"guards": [], "writes": won}, lambda status, body: None)
+    gone = {"guards": [], "writes": [wire.remove("c/lead")]}
+    model.state.transaction(gone, lambda status, body: None)
+    statuses = []
+    model.state.handle(sent.method, sent.path, sent.body, lambda s, b: statuses.append(s))
+    assert statuses == [409] and model.state.data["c/token"][0]["token"] == 2
+
+
+@pytest.mark.parametrize("over", ["lease ended", "lease gone", "token seen"])
+def test_a_campaign_without_an_answer_keeps_its_member_from_promising_until_it_is_over(over):
+    # Guards whoever holds the promise: the late win would be this member's, which after a restart
+    # keeps no promise. It is over once the lease is certainly gone or another token is stored.
+    _, node, now, sent = campaign_on_its_way()
+    sent.then(now, Outcome(0))
+    (drop,) = node.out.calls
+    assert (drop.method, node.campaigning) == ("DELETE", False)
+    assert not promises(node, now)
+    if over == "token seen":
+        node.saw(now, "c/token", b'{"token":1,"member":"b"}', 50)
+    else:
+        drop.then(now, Outcome(503))
+        assert not promises(node, now)
+        drop.then(now, Outcome(200 if over == "lease ended" else 404))
+    assert promises(node, now)
--- a/tests/test_fleet_store.py
+++ b/tests/test_fleet_store.py
@@ -385,3 +385,13 @@
     fleet_store.came_up(service.now, "m-1", PLACES[1])
     service.run(fleet_store, 10.0)
     assert "m-1" in service.truth()[2]
+
+
+def test_a_page_of_one_item_is_not_moved_by_each_new_leader():
+    # Its booking keeps more room than a page has: there is nothing to gain from another page.
+    service = Service()
+    place = {"type": "caja-grande", "zone": "monterrey", "spot": True}
+    service.put("c/fleet/0", {"places": [{**place, "booked": {"b-1-1": 300}}]})
+    fleet_store = service.fleet_store()
+    service.run(fleet_store, 4.0)
+    assert set(service.stored().pages) == {0} == set(fleet_store.pages)
