Malformed submissions get 400, never an exception; bodies stay bounded in memory

Found by going through bad input on the user API. A deeply nested field, also one that is ignored, raised RecursionError out of the decoder and ended the request in the log, since only decode errors were caught. Invalid UTF-8 in an ignored field was accepted, since msgspec doesn't look at the strings that it skips. A body of unknown length, or of 100 kB and more, went into a temporary file, and there is no disk: bodies are now kept in memory, one byte beyond the limit at most.

Ruled out by the same test: NaN, infinities, numbers out of range, booleans for numbers, integers of 400 and 5000 digits, half surrogates, byte order marks.

Each guard was taken out and its test seen to fail.

--- a/src/copperpass/core/users.py
+++ b/src/copperpass/core/users.py
@@ -113,11 +113,12 @@
     def submit(self, now: float, request: object, body: bytes) -> None:
         """POST /api/jobs."""
         if len(body) > wire.MAX_BODY:
-            self._answer(request, 413, wire.error("body too large"))
+            # Malformed: users give up at once on a 400, but repeat a 413 for a minute.
+            self._answer(request, 400, wire.error("body too large"))
             return
         try:
-            spec = msgspec.json.decode(body, type=wire.Spec)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            spec = wire.decode_spec(body)
+        except wire.DECODE_ERRORS as error:
             known = wire.decode(body, wire.OnlyId)
             refusal = Rejection(400, str(error))
             if known is None or not wire.JOB_ID.match(known.id):
--- a/src/copperpass/net/server.py
+++ b/src/copperpass/net/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from io import BytesIO
 from typing import Any
 
 from twisted.web.http import HTTPFactory, Request
@@ -11,12 +12,25 @@
 JSON = b"application/json"
 
 
+class BoundedBody(BytesIO):
+    """A request body in memory, cut off one byte beyond the longest that is allowed."""
+
+    def write(self, data: Any) -> int:
+        """Keep what is within the bound; the rest of an oversize body is dropped."""
+        super().write(data[: max(0, wire.MAX_BODY + 1 - self.tell())])
+        return len(data)
+
+
 class ApiRequest(Request):
     """One request; the service decides what it is answered."""
 
     service: Any = None
     gone = False
 
+    def gotLength(self, length: int | None) -> None:
+        """Begin a body: twisted would put one of unknown or large size into a temporary file."""
+        self.content = BoundedBody()
+
     def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:
         """Take a whole request; no body is a form, and looking for one costs more than the rest."""
         content: Any = self.content
--- a/src/copperpass/wire.py
+++ b/src/copperpass/wire.py
@@ -333,14 +333,25 @@
 encode = msgspec.json.encode
 
 
+# What decoding a body raises. Deep nesting, also in fields that are ignored, exhausts the stack.
+DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+
+
 def decode(body: bytes, kind: Any) -> Any:
     """Decode a body, or None when it is not what the protocol says."""
     try:
         return msgspec.json.decode(body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return None
 
 
+def decode_spec(body: bytes) -> Spec:
+    """Decode a submission; raises one of `DECODE_ERRORS` when it is malformed."""
+    # msgspec doesn't look at the bytes of strings in fields that it ignores.
+    body.decode("utf-8")
+    return msgspec.json.decode(body, type=Spec)
+
+
 def transaction(guards: dict[str, int], writes: list[dict[str, Any]]) -> bytes:
     """The body of a guarded transaction; writes come from `put` and `remove`."""
     return encode(
