--- a/src/copperpass/core/scheduling/dispatch_round.py
+++ b/src/copperpass/core/scheduling/dispatch_round.py
@@ -13,8 +13,10 @@
 from copperpass.core.scheduling.commands import Commands
 from copperpass.core.scheduling.context import SchedulerContext
 from copperpass.core.scheduling.demand import Demand
+from copperpass.core.scheduling.freed_room import machine_to_hold
 from copperpass.core.scheduling.gangs import GangPlacer
 from copperpass.core.scheduling.preemption import Preemption
+from copperpass.core.scheduling.ranking import Ranking
 from copperpass.core.scheduling.reservations import Reservations
 from copperpass.core.scheduling.state import PoolState
 from copperpass.core.scheduling.tasks import TaskLifecycle
@@ -128,7 +130,7 @@
         self.stuck: list[Job] = []
         # Where tasks have been started, in order.
         self.log: list[Machine] = []
-        self.rankings: dict[str, dispatch.Ranking] = {}
+        self.rankings: dict[str, Ranking] = {}
         # Shapes that found no room: it only shrinks within a round.
         self.full: set[tuple[object, ...]] = set()
 
@@ -255,7 +257,7 @@
         ranking = self.rankings.get(spec.id)
         if ranking is None:
             policy = self.reservations.policy(job, left_out, patient, slack < self.boot_s)
-            ranking = self.rankings[spec.id] = dispatch.Ranking(
+            ranking = self.rankings[spec.id] = Ranking(
                 job, self.roomy, self.state.machines, self.now, policy, len(self.log)
             )
         machine = ranking.best(self.log)
@@ -272,7 +274,7 @@
         if name in self.holding or can_wait or spec.cpus < LARGE_FACTOR * self.smallest:
             return
         self.holding.add(name)
-        machine = dispatch.machine_to_hold(job, self.usable, self.state.machines, now)
+        machine = machine_to_hold(job, self.usable, self.state.machines, now)
         if machine is not None:
             machine.held_for, machine.held_until = spec.id, now + self.state.timing.report_s
             machine.held_ready = 0.0
--- /dev/null
+++ b/src/copperpass/core/scheduling/freed_room.py
@@ -0,0 +1,108 @@
+"""Room that tasks leave, by ending soon or by being stopped."""
+
+from __future__ import annotations
+
+from copperpass import wire
+from copperpass.core.dispatch import remaining
+from copperpass.core.fleet import Machine, Placement, allows, type_fits, zone_allows
+from copperpass.core.jobs import EPS, Job, fits
+
+
+def lost_work(placement: Placement, checkpoint_s: float, now: float) -> float:
+    """The work that stopping a task throws away."""
+    if not placement.running_at:
+        return 0.0
+    ran = now - placement.running_at
+    return min(ran, 1.0) if checkpoint_s > 0 else ran
+
+
+def machine_to_hold(
+    job: Job, usable: list[Machine], machines: dict[str, Machine], now: float
+) -> Machine | None:
+    """The machine that will have room for the job's next task soonest, if nothing else starts."""
+    best: tuple[float, str, Machine] | None = None
+    spec = job.spec
+    for machine in usable:
+        if not allows(spec, machine.type, machine.zone, machine.spot):
+            continue
+        if not type_fits(spec, machine.type) or not zone_allows(job, machine.zone, machines):
+            continue
+        if machine.held_from(spec.id, now):
+            continue
+        cpus, gpus, memory = machine.room()
+        ready = 0.0
+        tasks = sorted(
+            ((remaining(p, now), p) for p in machine.tasks.values() if p.active),
+            key=lambda pair: pair[0],
+        )
+        for left, p in tasks:
+            if fits(spec.cpus, cpus) and fits(spec.gpus, gpus) and fits(spec.memory_gb, memory):
+                break
+            ready = left
+            cpus, gpus, memory = cpus + p.cpus, gpus + p.gpus, memory + p.memory_gb
+        if best is None or (ready, machine.name) < best[:2]:
+            best = (ready, machine.name, machine)
+    return best[2] if best else None
+
+
+def victims(
+    job: Job,
+    machine: Machine,
+    jobs: dict[str, Job],
+    over_guarantee: set[str],
+    under: bool,
+    now: float,
+) -> list[Placement] | None:
+    """The tasks to stop on a machine so that one task of the job fits, or None.
+
+    A gang is made room for as a whole, where a single machine can take it.
+    """
+    spec = job.spec
+    times = len(job.missing()) if spec.gang else 1
+    needs = (spec.cpus * times, spec.gpus * times, spec.memory_gb * times)
+    kind = machine.type
+    if any(
+        need > have + EPS
+        for need, have in zip(needs, (kind.cpus, kind.gpus, kind.memory_gb), strict=True)
+    ) or (spec.gang and spec.spread and times > 1):
+        return None
+    if not allows(spec, machine.type, machine.zone, machine.spot):
+        return None
+    mine = wire.PRIORITIES[spec.priority]
+
+    def cost(p: Placement) -> tuple[bool, float]:
+        owner = jobs.get(p.job_id)
+        # To stop one task of a gang is to stop all.
+        gang = owner is not None and owner.spec.gang
+        return gang, lost_work(p, owner.spec.checkpoint_s if owner else 0.0, now)
+
+    # A gang is stopped as a whole and begins anew as a whole: only for a guarantee or production.
+    spares = not under and mine < wire.PRIORITIES["production"]
+    gangs = (
+        {j for j in {p.job_id for p in machine.tasks.values()} if j in jobs and jobs[j].spec.gang}
+        if spares
+        else set()
+    )
+    may = [
+        p
+        for p in machine.tasks.values()
+        if p.active
+        and p.stop is None
+        and p.seen
+        and p.job_id not in gangs
+        and (p.priority < mine or (under and p.team != spec.team and p.team in over_guarantee))
+    ]
+    may.sort(key=lambda p: (p.priority, cost(p)))
+    cpus, gpus, memory = machine.room()
+    for p in machine.tasks.values():
+        if p.active and p.stop is not None:
+            cpus, gpus, memory = cpus + p.cpus, gpus + p.gpus, memory + p.memory_gb
+    chosen: list[Placement] = []
+    for p in may:
+        if cpus >= needs[0] and gpus >= needs[1] and memory >= needs[2]:
+            break
+        chosen.append(p)
+        cpus, gpus, memory = cpus + p.cpus, gpus + p.gpus, memory + p.memory_gb
+    if cpus >= needs[0] and gpus >= needs[1] and memory >= needs[2]:
+        return chosen
+    return None
--- a/src/copperpass/core/scheduling/gangs.py
+++ b/src/copperpass/core/scheduling/gangs.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from copperpass import wire
-from copperpass.core import dispatch
 from copperpass.core.fleet import Machine, Placement
 from copperpass.core.jobs import Job, fits
+from copperpass.core.scheduling.gang_planning import gang_hold, plan_gang
+from copperpass.core.scheduling.ranking import Ranking
 from copperpass.core.scheduling.reservations import Reservations
 from copperpass.core.scheduling.state import PoolState
 from copperpass.core.scheduling.tasks import TaskLifecycle
@@ -88,8 +89,8 @@
         policy = reservations.policy(
             job, reservations.left_out(job, now), spot_only=False, urgent=True
         )
-        ranking = dispatch.Ranking(job, roomy, self.machines, now, policy, len(log))
-        plan = dispatch.plan_gang(ranking, self.machines)
+        ranking = Ranking(job, roomy, self.machines, now, policy, len(log))
+        plan = plan_gang(ranking, self.machines)
         if plan is None:
             self._no_room(now, job)
             return []
@@ -124,7 +125,7 @@
     def hold_room(self, now: float, job: Job, usable: list[Machine]) -> set[str]:
         """Hold the room where a gang can start soonest; returns whom room is held for."""
         state, report_s = self.state, self.state.timing.report_s
-        found = dispatch.gang_hold(job, usable, self.machines, now, self.reservations.kept)
+        found = gang_hold(job, usable, self.machines, now, self.reservations.kept)
         if found is None:
             return set()
         for machine in found[0]:
--- a/src/copperpass/core/scheduling/preemption.py
+++ b/src/copperpass/core/scheduling/preemption.py
@@ -6,11 +6,11 @@
 from dataclasses import dataclass
 
 from copperpass import wire
-from copperpass.core import dispatch
 from copperpass.core.fleet import NO_PRIORITY, Machine, Placement, zone_allows
 from copperpass.core.jobs import Job, fits
 from copperpass.core.scheduling.commands import Commands
 from copperpass.core.scheduling.context import SchedulerContext
+from copperpass.core.scheduling.freed_room import lost_work, victims
 from copperpass.core.scheduling.state import PoolState
 from copperpass.core.scheduling.tasks import TaskLifecycle
 
@@ -115,8 +115,8 @@
                 continue
             if not zone_allows(job, machine.zone, machines):
                 continue
-            chosen = dispatch.victims(job, machine, jobs, over, under, now)
+            chosen = victims(job, machine, jobs, over, under, now)
             if chosen:
-                cost = sum(dispatch.lost_work(p, 0.0, now) * p.cpus for p in chosen)
+                cost = sum(lost_work(p, 0.0, now) * p.cpus for p in chosen)
                 found.append((cost, machine.name, machine, chosen))
         return found
--- /dev/null
+++ b/src/copperpass/core/scheduling/ranking.py
@@ -0,0 +1,109 @@
+"""Which machine a job's next task goes to: a ranking that is kept up through a round."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterable, Set
+from dataclasses import dataclass
+
+from copperpass.core.dispatch import price_of
+from copperpass.core.fleet import Machine, allows, zone_allows
+from copperpass.core.jobs import Job
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementPolicy:
+    """Which of the machines that have room for a job's tasks they may use, and which first."""
+
+    # Types that are reserved for larger tasks.
+    closed_types: Set[str] = frozenset()
+    # Only spot machines: the job can wait for one.
+    spot_only: bool = False
+    # Time is short: an image that is there already counts for more than a low price.
+    urgent: bool = False
+    # Ordinary machines that are reserved for jobs that may use no other.
+    reserved: frozenset[str] = frozenset()
+    # Neither reserved machines nor those held for another job are closed.
+    ignore_reservations: bool = False
+
+
+class Ranking:
+    """The machines for one job's tasks in a round: image there, cheap, the least room left.
+
+    All machines are judged once; after that only those where something has been started since, so
+    a round's cost grows with what it starts, not with that times the fleet. Cheap machines come
+    first: then the dear ones fall idle in a lull and can go back. Machines where the job has failed
+    come last. `since` is the length of the round's log of started machines at this moment.
+    """
+
+    def __init__(
+        self,
+        job: Job,
+        roomy: Iterable[Machine],
+        machines: dict[str, Machine],
+        now: float,
+        policy: PlacementPolicy,
+        since: int = 0,
+    ) -> None:
+        self.job, self.machines, self.now = job, machines, now
+        self.policy = policy
+        self.since = since
+        self.heap: list[tuple[tuple[float, ...], int, Machine]] = []
+        self.count = 0
+        for machine in roomy:
+            self._add(machine)
+
+    def _add(self, machine: Machine) -> None:
+        score = self._score(machine)
+        if score is not None:
+            self.count += 1
+            heapq.heappush(self.heap, (score, self.count, machine))
+
+    def _score(self, machine: Machine) -> tuple[float, ...] | None:
+        """The lower the better; None if no task of the job may start there."""
+        spec, kind, policy = self.job.spec, machine.type, self.policy
+        if not machine.has_room(spec) or not allows(spec, kind, machine.zone, machine.spot):
+            return None
+        if (policy.spot_only and not machine.spot) or kind.name in policy.closed_types:
+            return None
+        if (
+            machine.held_from(spec.id, self.now)
+            and not policy.ignore_reservations
+            and not (self.now + 2 * spec.estimate_s < machine.held_ready)
+        ):
+            # Room that was freed by stopping tasks is for the job they were stopped for; room that
+            # is held for a gang serves short work until the gang's other room is free.
+            return None
+        if spec.spot and machine.name in policy.reserved and not policy.ignore_reservations:
+            # Ordinary room is kept for work that may not use any other.
+            return None
+        left = kind.cpus - machine.used_cpus - spec.cpus
+        fetch = 0.0
+        if spec.image not in machine.images:
+            fetch = spec.image_gb / max(kind.fetch_gb_per_s, 1e-3)
+        return (
+            float(machine.name in self.job.failed_on),
+            fetch if policy.urgent else 0.0,
+            price_of(kind, machine.spot) / max(kind.cpus, 1e-6),
+            fetch,
+            (kind.cpus > 2 * spec.cpus and left) or 0.0,
+            left,
+            kind.memory_gb - machine.used_memory,
+        )
+
+    def best(self, log: list[Machine]) -> Machine | None:
+        """The best machine now; `log` names where the round has started tasks, in order."""
+        for machine in log[self.since :]:
+            self._add(machine)
+        self.since = len(log)
+        while self.heap:
+            score, number, machine = self.heap[0]
+            fresh = self._score(machine)
+            if fresh is None or not zone_allows(self.job, machine.zone, self.machines):
+                # Within a round room only shrinks and zones only close.
+                heapq.heappop(self.heap)
+            elif fresh != score:
+                heapq.heapreplace(self.heap, (fresh, number, machine))
+            else:
+                return machine
+        return None
--- a/src/copperpass/core/scheduling/reservations.py
+++ b/src/copperpass/core/scheduling/reservations.py
@@ -6,6 +6,7 @@
 from copperpass.core.fleet import Machine
 from copperpass.core.jobs import Job
 from copperpass.core.scheduling.context import SchedulerContext
+from copperpass.core.scheduling.ranking import PlacementPolicy
 from copperpass.core.scheduling.state import PoolState
 
 # The part of its patience after which a job none of whose tasks has started finds any room.
@@ -30,11 +31,9 @@
         waits = not job.placed and not job.finished and job.done_count == 0
         return waits and now - job.arrived > LEFT_OUT_PART * self.tuning.patience_s
 
-    def policy(
-        self, job: Job, left_out: bool, spot_only: bool, urgent: bool
-    ) -> dispatch.PlacementPolicy:
+    def policy(self, job: Job, left_out: bool, spot_only: bool, urgent: bool) -> PlacementPolicy:
         """Where the job's tasks may be started in this round, whether a gang's or single ones."""
-        return dispatch.PlacementPolicy(
+        return PlacementPolicy(
             closed_types=frozenset() if left_out else self.scarce.closed_to(job.spec),
             spot_only=spot_only,
             urgent=urgent,
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -6,9 +6,10 @@
 import pytest
 
 from copperpass import wire
-from copperpass.core.dispatch import Aims, PlacementPolicy, Ranking, Scarce, share_late, task_order
+from copperpass.core.dispatch import Aims, Scarce, share_late, task_order
 from copperpass.core.fleet import Machine
 from copperpass.core.jobs import make_job
+from copperpass.core.scheduling.ranking import PlacementPolicy, Ranking
 from copperpass.settings import Objective
 from tests.simulation import TYPE, job
 
