--- a/tests/test_rolling_upgrade.py
+++ b/tests/test_rolling_upgrade.py
@@ -203,6 +203,46 @@
     settle(simulation, range(1, 6))
 
 
+def test_going_back_to_0_3_0_member_by_member_and_onwards_again():
+    # Guards what docs/operations.md promises: nothing that this version stores harms 0.3.0.
+    order = ["n1", "n0", "n2"]
+    simulation = rolled(order, seed=33, old="0.3.0", parted=True)
+    for name in order:
+        turn(simulation, name)
+        simulation.run(4.0)
+    for number, name in enumerate(order, 5):
+        simulation.submit(job(number, team="blue", tasks=3, run_s=20.0))
+        simulation.versions[name] = production.load()
+        simulation.crash(name, 1.5)
+        simulation.run(4.0)
+    assert all(simulation.running.values())
+    simulation.run(10.0)
+    assert any(k.startswith("d/job/") for k in simulation.state.data) and not simulation.broken
+    for name in order:
+        turn(simulation, name)
+        simulation.run(4.0)
+    settle(simulation, range(1, 8))
+
+
+def test_no_older_member_is_sent_what_it_does_not_know():
+    # Guards the proof before new frames: 0.2.0 raises on them here, and closes its link there.
+    simulation = rolled(["n0", "n1", "n2"], seed=34, old="0.2.0", parted=True)
+    turn(simulation, "n1")
+    simulation.run(5.0)
+    simulation.submit(job(5, tasks=8, cpus=8.0, same_place=True))
+    simulation.submit(job(6, team="blue", tasks=6, cpus=8.0, run_s=60.0, same_place=True))
+    simulation.run(4.0)
+    cancelled = simulation.cancel("req-000006", "n1")
+    simulation.run(8.0)
+    assert cancelled.status == 200
+    for name in ("n0", "n2"):
+        turn(simulation, name)
+        simulation.run(4.0)
+    settle(simulation, range(1, 6))
+    simulation.check_cancelled()
+    assert simulation.told["req-000006"] == "withdrawn" and not simulation.broken
+
+
 # -- gangs -----------------------------------------------------------------------------
 
 
