--- a/src/copperpass/core/fleet.py
+++ b/src/copperpass/core/fleet.py
@@ -17,6 +17,8 @@
 Key = tuple[str, int, int]
 # The team of a task whose job is not known.
 UNIDENTIFIED = "?"
+# A machine type that names no rate is taken to fetch images at this one.
+MIN_FETCH_GB_PER_S = 1e-3
 NO_PRIORITY = 99
 
 
@@ -172,6 +174,12 @@
             and fits(spec.gpus, kind.gpus - self.used_gpus)
         )
 
+    def fetch_s(self, spec: wire.Spec) -> float:
+        """Seconds until the machine has a job's image."""
+        if spec.image in self.images:
+            return 0.0
+        return spec.image_gb / max(self.type.fetch_gb_per_s, MIN_FETCH_GB_PER_S)
+
     def touch_image(self, image: str, size: float) -> None:
         """Note that the machine has, or will have, an image; forget the oldest beyond its cache."""
         self.images[image] = size
--- a/src/copperpass/core/jobs.py
+++ b/src/copperpass/core/jobs.py
@@ -70,6 +70,8 @@
     attempts: int = 0
     failed_on: set[str] = field(default_factory=set)
     failures: int = 0
+    # Tasks that were stopped once for more urgent work.
+    preempted: set[int] = field(default_factory=set)
     hold_until: float = 0.0
     guaranteed: bool = False
     judged: bool = False
@@ -124,6 +126,7 @@
         self.results.clear()
         self.again.clear()
         self.failed_on.clear()
+        self.preempted.clear()
         self.next_index = self.failures = 0
         self.storing, self.hold_until = False, 0.0
         self.attempt, self.begun, self.ending = 0, False, False
--- a/src/copperpass/core/scheduling/freed_room.py
+++ b/src/copperpass/core/scheduling/freed_room.py
@@ -90,6 +90,8 @@
         and p.stop is None
         and p.seen
         and p.job_id not in gangs
+        # Guards long tasks that can't save: stopped by each burst, they would never end.
+        and not (spares and p.job_id in jobs and p.index in jobs[p.job_id].preempted)
         and (p.priority < mine or (under and p.team != spec.team and p.team in over_guarantee))
     ]
     may.sort(key=lambda p: (p.priority, cost(p)))
--- a/src/copperpass/core/scheduling/preemption.py
+++ b/src/copperpass/core/scheduling/preemption.py
@@ -13,6 +13,7 @@
 from copperpass.core.scheduling.freed_room import lost_work, victims
 from copperpass.core.scheduling.state import PoolState
 from copperpass.core.scheduling.tasks import TaskLifecycle
+from copperpass.core.scheduling.turnover import ExpectedRelease
 
 # Room is freed for as many tasks of a job at a time.
 MOST_AT_ONCE = 8
@@ -25,6 +26,8 @@
     """A job that may have tasks of others stopped."""
 
     job: Job
+    # Seconds until the nearest aim that can still be met.
+    slack_s: float
     # Its team is under its guarantee, so it may take back what others have borrowed.
     under_guarantee: bool
 
@@ -52,10 +55,16 @@
         state = self.state
         over = {team.name for team in state.teams if used[team.name][0] > team.cpus + 1e-6}
         stopping: int | None = None
+        release = ExpectedRelease(state.turnover.rate(now))
         lowest = min((machine.lowest for machine in usable), default=NO_PRIORITY)
         for job in stuck:
             spec = job.spec
-            if state.aims.due(job, now) - now > state.timing.boot_s:
+            slack = state.aims.due(job, now) - now
+            if slack > state.timing.boot_s:
+                continue
+            # Guards work that runs: what ends by itself in time needs no task to be stopped.
+            short = release.shortfall(job, slack)
+            if short <= 0:
                 continue
             under = (
                 bool(over - {spec.team})
@@ -66,9 +75,9 @@
                 continue
             if stopping is None:
                 stopping = self._count_stopping()
-            budget = (1 if spec.gang else min(job.waiting(), MOST_AT_ONCE)) - stopping
+            budget = (1 if spec.gang else min(short, MOST_AT_ONCE)) - stopping
             if budget > 0:
-                claimant = Claimant(job, under)
+                claimant = Claimant(job, slack, under)
                 stopping += self._make_room(now, claimant, usable, over, budget)
 
     def _count_stopping(self) -> int:
@@ -95,6 +104,9 @@
         for _, _, machine, chosen in heapq.nsmallest(budget, found):
             for placement in chosen:
                 self.tasks.stop(now, placement, "preempted")
+                victim = self.jobs.jobs.get(placement.job_id)
+                if victim is not None:
+                    victim.preempted.add(placement.index)
                 stopped += 1
             machine.held_ready = 0.0
             machine.held_for = claimant.job.spec.id
@@ -115,6 +127,9 @@
                 continue
             if not zone_allows(job, machine.zone, machines):
                 continue
+            if machine.fetch_s(job.spec) > claimant.slack_s:
+                # Its image would come too late for the aim that the room is for.
+                continue
             chosen = victims(job, machine, jobs, over, under, now)
             if chosen:
                 cost = sum(lost_work(p, 0.0, now) * p.cpus for p in chosen)
--- a/src/copperpass/core/scheduling/ranking.py
+++ b/src/copperpass/core/scheduling/ranking.py
@@ -78,9 +78,7 @@
             # Ordinary room is kept for work that may not use any other.
             return None
         left = kind.cpus - machine.used_cpus - spec.cpus
-        fetch = 0.0
-        if spec.image not in machine.images:
-            fetch = spec.image_gb / max(kind.fetch_gb_per_s, 1e-3)
+        fetch = machine.fetch_s(spec)
         return (
             float(machine.name in self.job.failed_on),
             fetch if policy.urgent else 0.0,
--- /dev/null
+++ b/tests/test_preemption.py
@@ -0,0 +1,104 @@
+"""Whose tasks are stopped for more urgent work, and when waiting serves as well."""
+
+import json
+
+from copperpass import wire
+from copperpass.core.jobs import make_job
+from copperpass.core.scheduling.turnover import ExpectedRelease, Turnover
+from tests.simulation import job
+from tests.test_pool_scheduler import Bench
+
+URGENT, PATIENT = {"urgency": "high"}, {"urgency": "low", "slot": "slow"}
+
+
+class Crowded(Bench):
+    """A pool whose one machine is full of patient tasks of 4 CPUs."""
+
+    def __init__(self):
+        super().__init__()
+        self.submit(1, tasks=4, run_s=100.0, **PATIENT)
+        self.owner.round(self.now)
+        self.take("worker")
+        self.run_all()
+
+    def submit(self, number, **more):
+        record = json.dumps({"spec": job(number, **more)}).encode()
+        self.jobs.saw(self.now, f"c/live/req-{number:06d}", record, 70 + number)
+
+    def run_all(self):
+        """Report every task as running, and as halted those that were told to stop."""
+        told = []
+        for task in self.owner.machines["m-1"].tasks.values():
+            name = f"{task.job_id}/{task.index}"
+            if task.active and task.stop is None:
+                told.append((name, task.attempt, wire.TASK_RUNNING, None))
+            elif task.active:
+                told.append((name, task.attempt, wire.EXITED, "halted"))
+        self.report(told)
+
+    def stopped(self):
+        """The tasks that have been told to stop."""
+        tasks = self.owner.machines["m-1"].tasks.values()
+        return sorted(f"{t.job_id}/{t.index}" for t in tasks if t.active and t.stop is not None)
+
+    def round(self):
+        self.owner.round(self.now)
+        self.take("worker")
+        return self.stopped()
+
+
+def test_an_urgent_job_has_tasks_of_lower_priority_stopped():
+    bench = Crowded()
+    bench.submit(2, tasks=1, **URGENT)
+    assert len(bench.round()) == 1
+
+
+def test_nothing_is_stopped_for_what_ends_by_itself_in_time():
+    # Guards against stopping tasks that can't save in every burst: on a busy fleet dozens end each
+    # second, and those that were stopped began anew again and again and came late.
+    bench = Crowded()
+    for _ in range(8):
+        bench.owner.state.turnover.add(bench.now, 4.0)
+    bench.submit(2, tasks=1, **URGENT)
+    assert bench.round() == []
+
+
+def test_turnover_serves_jobs_in_their_order_and_forgets():
+    turnover = Turnover(10.0)
+    for second in range(10):
+        turnover.add(float(second), 8.0)
+    assert turnover.rate(9.0) == 8.0 and turnover.rate(14.5) == 4.0 and turnover.rate(30.0) == 0.0
+    waiting = [
+        make_job(
+            wire.decode(json.dumps({"spec": job(n, tasks=10)}).encode(), wire.JobRecord), n, 0.0
+        )
+        for n in (1, 2)
+    ]
+    release = ExpectedRelease(20.0)
+    # 60 CPUs in three seconds: all 40 of the first job, 20 of the 40 of the second.
+    assert [release.shortfall(j, 3.0) for j in waiting] == [0, 5]
+
+
+def test_a_task_is_stopped_once_and_not_by_each_burst():
+    bench = Crowded()
+    bench.submit(2, tasks=1, run_s=2.0, **URGENT)
+    (first,) = bench.round()
+    bench.run_all()
+    job_id, index = first.split("/")
+    patient = bench.jobs.jobs[job_id]
+    assert patient.preempted == {int(index)}
+    # All four have been stopped once: whoever comes next waits, but production doesn't.
+    patient.preempted.update(range(4))
+    for _ in range(3):
+        # The machine is no longer held for the second job, whose task runs there.
+        bench.run_all()
+    bench.submit(3, tasks=4, **URGENT)
+    assert bench.round() == []
+    bench.submit(4, tasks=1, urgency="production")
+    assert len(bench.round()) == 1
+
+
+def test_nothing_is_stopped_where_the_image_comes_too_late():
+    bench = Crowded()
+    bench.submit(2, tasks=1, master="img-far", size_gb=500.0, **URGENT)
+    assert bench.round() == []
