--- a/src/copperpass/core/scheduling/gangs.py
+++ b/src/copperpass/core/scheduling/gangs.py
@@ -20,6 +20,9 @@
 
     def seen(self, now: float, job: Job, placement: Placement) -> None:
         """A task of a gang is reported as active."""
+        if job.ending and placement.stop is None:
+            # Its machine was taken over only after the attempt had ended and the rest were told.
+            self.tasks.stop(now, placement, "attempt over")
         if not job.attempt and not job.ending:
             # Taken over from an earlier owner: what is missing joins its attempt.
             job.attempt = placement.attempt
