--- a/src/copperpass/core/rental.py
+++ b/src/copperpass/core/rental.py
@@ -177,6 +177,20 @@
     return count
 
 
+def slots_on_new(machine_type: wire.MachineType, spec: wire.Spec, count: int) -> int:
+    """For how many of a job's tasks, up to `count`, an empty machine of a type has room."""
+    per = [
+        have / need
+        for need, have in (
+            (spec.cpus, machine_type.cpus),
+            (spec.gpus, machine_type.gpus),
+            (spec.memory_gb, machine_type.memory_gb),
+        )
+        if need > 0
+    ]
+    return min(count, int(min(per) + 1e-6)) if per else count
+
+
 def choose_place(
     spec: wire.Spec | None,
     count: int,
@@ -189,40 +203,27 @@
     within: str | None = None,
     dear_only: bool = False,
 ) -> Place | None:
-    """The cheapest place for tasks of a shape, spread over zones; or `within` one of them."""
+    """The cheapest place for tasks of a shape, spread over zones; or `within` one of them.
+
+    The price counts per task that finds room there; without a shape, per CPU.
+    """
     best: Place | None = None
     best_score: tuple[float, int, str] | None = None
     for machine_type in types.values():
-        if machine_type.name in closed:
+        if machine_type.name in closed or (spec is not None and not type_fits(spec, machine_type)):
             continue
-        slots = machine_type.cpus
-        if spec is not None:
-            if not type_fits(spec, machine_type):
-                continue
-            per = [
-                have / need
-                for need, have in (
-                    (spec.cpus, machine_type.cpus),
-                    (spec.gpus, machine_type.gpus),
-                    (spec.memory_gb, machine_type.memory_gb),
-                )
-                if need > 0
-            ]
-            slots = min(count, int(min(per) + 1e-6)) if per else count
+        slots = machine_type.cpus if spec is None else slots_on_new(machine_type, spec, count)
         for spot in (True, False):
-            if (
-                (spot and machine_type.spot_price is None)
-                or (spot_only and not spot)
-                or (dear_only and spot)
-            ):
+            unoffered = spot and machine_type.spot_price is None
+            if unoffered or (spot_only and not spot) or (dear_only and spot):
                 continue
             price = price_of(machine_type, spot)
             for zone in machine_type.zones:
-                place = Place(machine_type.name, zone, spot)
-                if spec is not None and not allows(spec, machine_type, zone, spot):
-                    continue
                 if within is not None and zone != within:
                     continue
+                if spec is not None and not allows(spec, machine_type, zone, spot):
+                    continue
+                place = Place(machine_type.name, zone, spot)
                 if not refusals.open(place, now):
                     continue
                 score = (price / max(slots, 1e-6), zones.get(zone, 0), zone)
