Split the planning of gangs and the choice of victims; a typed GangHold

Their steps are functions of their own now, and gang_hold returns a GangHold in place of a tuple of three.

Format, lint, types and the whole suite are green (363 passed).

A marked scratch copy ran 279 tests (all but those named random, production or upgrade): two reach fencing, none reaches a foreign task in Reports._mind_foreign or a machine that is vacated in Ownership._give_back. For these two paths only reading speaks.

--- a/src/copperpass/core/scheduling/context.py
+++ b/src/copperpass/core/scheduling/context.py
@@ -53,7 +53,7 @@
 
 @dataclass(slots=True)
 class Timing:
-    """Times in seconds that follow from the settings."""
+    """Times in seconds that follow from the settings; all but `boot_s` stay as they are."""
 
     report_s: float
     # After this long without an answer a worker has certainly ended its tasks.
@@ -65,7 +65,7 @@
     # A worker that loses its way is back, over another node, after this long at most: to delete
     # its machine sooner would cost its tasks.
     lost_s: float
-    # The longest boot of any machine type.
+    # The longest boot of any machine type; set again by the node when types have come.
     boot_s: float
     gang_notice_s: float
     gang_wait_s: float
--- a/src/copperpass/core/scheduling/freed_room.py
+++ b/src/copperpass/core/scheduling/freed_room.py
@@ -68,41 +68,50 @@
         return None
     if not allows(spec, machine.type, machine.zone, machine.spot):
         return None
-    mine = wire.PRIORITIES[spec.priority]
+    candidates = _stoppable(job, machine, jobs, over_guarantee, under)
+    candidates.sort(key=lambda placement: (placement.priority, _stop_cost(placement, jobs, now)))
+    cpus, gpus, memory = machine.room()
+    for placement in machine.tasks.values():
+        if placement.active and placement.stop is not None:
+            cpus, gpus = cpus + placement.cpus, gpus + placement.gpus
+            memory += placement.memory_gb
+    chosen: list[Placement] = []
+    for placement in candidates:
+        if cpus >= needs[0] and gpus >= needs[1] and memory >= needs[2]:
+            break
+        chosen.append(placement)
+        cpus, gpus = cpus + placement.cpus, gpus + placement.gpus
+        memory += placement.memory_gb
+    enough = cpus >= needs[0] and gpus >= needs[1] and memory >= needs[2]
+    return chosen if enough else None
+
+
+def _stop_cost(placement: Placement, jobs: dict[str, Job], now: float) -> tuple[bool, float]:
+    """What stopping a task costs: to stop one task of a gang is to stop all."""
+    job = jobs.get(placement.job_id)
+    gang = job is not None and job.spec.gang
+    return gang, lost_work(placement, job.spec.checkpoint_s if job else 0.0, now)
 
-    def cost(p: Placement) -> tuple[bool, float]:
-        owner = jobs.get(p.job_id)
-        # To stop one task of a gang is to stop all.
-        gang = owner is not None and owner.spec.gang
-        return gang, lost_work(p, owner.spec.checkpoint_s if owner else 0.0, now)
 
+def _stoppable(
+    job: Job, machine: Machine, jobs: dict[str, Job], over_guarantee: set[str], under: bool
+) -> list[Placement]:
+    """The tasks on a machine that may be stopped for a job."""
+    spec, placements = job.spec, machine.tasks.values()
+    mine = wire.PRIORITIES[spec.priority]
     # A gang is stopped as a whole and begins anew as a whole: only for a guarantee or production.
     spares = not under and mine < wire.PRIORITIES["production"]
     gangs = (
-        {j for j in {p.job_id for p in machine.tasks.values()} if j in jobs and jobs[j].spec.gang}
+        {j for j in {p.job_id for p in placements} if j in jobs and jobs[j].spec.gang}
         if spares
         else set()
     )
-    may = [
+    return [
         p
-        for p in machine.tasks.values()
+        for p in placements
         if p.active
         and p.stop is None
         and p.seen
         and p.job_id not in gangs
         and (p.priority < mine or (under and p.team != spec.team and p.team in over_guarantee))
     ]
-    may.sort(key=lambda p: (p.priority, cost(p)))
-    cpus, gpus, memory = machine.room()
-    for p in machine.tasks.values():
-        if p.active and p.stop is not None:
-            cpus, gpus, memory = cpus + p.cpus, gpus + p.gpus, memory + p.memory_gb
-    chosen: list[Placement] = []
-    for p in may:
-        if cpus >= needs[0] and gpus >= needs[1] and memory >= needs[2]:
-            break
-        chosen.append(p)
-        cpus, gpus, memory = cpus + p.cpus, gpus + p.gpus, memory + p.memory_gb
-    if cpus >= needs[0] and gpus >= needs[1] and memory >= needs[2]:
-        return chosen
-    return None
--- a/src/copperpass/core/scheduling/gang_planning.py
+++ b/src/copperpass/core/scheduling/gang_planning.py
@@ -19,6 +19,19 @@
     cost: tuple[float, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class GangHold:
+    """The machines where a gang finds room soonest, when, and whether for all of its tasks."""
+
+    machines: list[Machine]
+    ready: float
+    whole: bool
+
+
+# A place for one task: in how many seconds it is free, whether it isn't kept for others, where.
+Offer = tuple[float, bool, str, Machine]
+
+
 def _slots(spec: wire.Spec, room: tuple[float, float, float], most: int) -> int:
     """How many tasks fit into a room, up to `most`."""
     count = most
@@ -36,6 +49,11 @@
     return [{zone} for zone in sorted(zones) if taken <= {zone}]
 
 
+def _most_per_zone(spec: wire.Spec) -> int:
+    """How many tasks of a gang one zone may take."""
+    return (spec.tasks + 1) // 2 if spec.spread else spec.tasks
+
+
 def plan_gang(ranking: Ranking, machines: dict[str, Machine]) -> GangPlan | None:
     """Place all missing tasks of a gang, or none of them.
 
@@ -43,103 +61,132 @@
     its last image. On few machines rather than on many: it runs at the speed of the slowest.
     """
     job = ranking.job
-    spec, missing = job.spec, job.missing()
-    offers = [(score, m) for score, _, m in ranking.heap]
+    missing = job.missing()
+    offers = [(score, machine) for score, _, machine in ranking.heap]
     best: GangPlan | None = None
-    most = (spec.tasks + 1) // 2 if spec.spread else spec.tasks
-    for zones in _zones(job, {m.zone for _, m in offers}, machines):
-        counts: dict[str, int] = {}
-        for name in job.placed.values():
-            where = machines[name].zone if name in machines else "?"
-            counts[where] = counts.get(where, 0) + 1
-        places: list[tuple[int, Machine]] = []
-        used: list[tuple[float, ...]] = []
-        need = len(missing)
-        here = [(score, m, _slots(spec, m.room(), need)) for score, m in offers if m.zone in zones]
-        # Where it has failed last, without a fetch first, whole before in parts, cheap before dear.
-        here.sort(key=lambda o: (o[0][0], o[0][3], -o[2], *o[0][1:], o[1].name))
-        left = list(missing)
-        for score, machine, slots in here:
-            if not left:
-                break
-            free = min(slots, most - counts.get(machine.zone, 0)) if spec.spread else slots
-            # Ended tasks that aren't cleared yet are still there: the machine would ignore a start
-            # under the same attempt, and refuse one under another.
-            there = {index for name, index, _ in machine.tasks if name == spec.id}
-            mine = [i for i in left if i not in there][:free]
-            if not mine:
-                continue
-            counts[machine.zone] = counts.get(machine.zone, 0) + len(mine)
-            places += [(i, machine) for i in mine]
-            left = [i for i in left if i not in mine]
-            used.append(score)
-        if left:
-            continue
-        cost = (
-            max(s[0] for s in used),
-            max(s[3] for s in used),
-            float(len(used)),
-            sum(s[2] for s in used) / len(used),
-        )
-        if best is None or cost < best.cost:
-            best = GangPlan(places, cost)
+    for zones in _zones(job, {machine.zone for _, machine in offers}, machines):
+        here = [offer for offer in offers if offer[1].zone in zones]
+        plan = _plan_on(job, missing, here, machines)
+        if plan is not None and (best is None or plan.cost < best.cost):
+            best = plan
     return best
 
 
+def _plan_on(
+    job: Job,
+    missing: list[int],
+    offers: list[tuple[tuple[float, ...], Machine]],
+    machines: dict[str, Machine],
+) -> GangPlan | None:
+    """Place all missing tasks on the offered machines, if there is room."""
+    spec, need, most = job.spec, len(missing), _most_per_zone(job.spec)
+    counts: dict[str, int] = {}
+    for name in job.placed.values():
+        where = machines[name].zone if name in machines else "?"
+        counts[where] = counts.get(where, 0) + 1
+    here = [(score, machine, _slots(spec, machine.room(), need)) for score, machine in offers]
+    # Where it has failed last, without a fetch first, whole before in parts, cheap before dear.
+    here.sort(key=lambda o: (o[0][0], o[0][3], -o[2], *o[0][1:], o[1].name))
+    places: list[tuple[int, Machine]] = []
+    used: list[tuple[float, ...]] = []
+    left = list(missing)
+    for score, machine, slots in here:
+        if not left:
+            break
+        free = min(slots, most - counts.get(machine.zone, 0)) if spec.spread else slots
+        # Ended tasks that aren't cleared yet are still there: the machine would ignore a start
+        # under the same attempt, and refuse one under another.
+        there = {index for name, index, _ in machine.tasks if name == spec.id}
+        mine = [i for i in left if i not in there][:free]
+        if not mine:
+            continue
+        counts[machine.zone] = counts.get(machine.zone, 0) + len(mine)
+        places += [(i, machine) for i in mine]
+        left = [i for i in left if i not in mine]
+        used.append(score)
+    return None if left else GangPlan(places, _cost(used))
+
+
+def _cost(scores: list[tuple[float, ...]]) -> tuple[float, ...]:
+    """The lower the better: failed there, slowest fetch, number of machines, mean price."""
+    return (
+        max(score[0] for score in scores),
+        max(score[3] for score in scores),
+        float(len(scores)),
+        sum(score[2] for score in scores) / len(scores),
+    )
+
+
 def gang_hold(
     job: Job,
     usable: list[Machine],
     machines: dict[str, Machine],
     now: float,
     kept: frozenset[str],
-) -> tuple[list[Machine], float, bool] | None:
-    """The machines where a gang will find room soonest, when, and whether for all of its tasks.
+) -> GangHold | None:
+    """Where a gang will find room soonest.
 
     If nowhere for all, then where there is room for most: the rest is to be rented there.
     """
     spec, need = job.spec, len(job.missing())
     allowed = [
-        m
-        for m in usable
-        if allows(spec, m.type, m.zone, m.spot)
-        and type_fits(spec, m.type)
-        and not m.held_from(spec.id, now)
+        machine
+        for machine in usable
+        if allows(spec, machine.type, machine.zone, machine.spot)
+        and type_fits(spec, machine.type)
+        and not machine.held_from(spec.id, now)
     ]
-    best: tuple[int, float, int, list[Machine]] | None = None
-    most = (spec.tasks + 1) // 2 if spec.spread else spec.tasks
-    for zones in _zones(job, {m.zone for m in allowed}, machines):
-        # Each machine's free places, one after the other, by when they are there.
-        offers: list[tuple[float, bool, str, Machine]] = []
+    best: tuple[tuple[int, float, int], list[Machine]] | None = None
+    for zones in _zones(job, {machine.zone for machine in allowed}, machines):
+        offers: list[Offer] = []
         for machine in allowed:
-            if machine.zone not in zones:
-                continue
-            room, had = list(machine.room()), 0
-            tasks = sorted(
-                ((remaining(p, now), p) for p in machine.tasks.values() if p.active),
-                key=lambda pair: pair[0],
-            )
-            ready = 0.0
-            for left, p in [*tasks, (0.0, None)]:
-                slots = _slots(spec, (room[0], room[1], room[2]), need)
-                offers += [(ready, machine.name not in kept, machine.name, machine)] * (slots - had)
-                had = max(had, slots)
-                if p is not None:
-                    ready = left
-                    for n, amount in enumerate((p.cpus, p.gpus, p.memory_gb)):
-                        room[n] += amount
-        offers.sort(key=lambda o: o[:3])
-        counts: dict[str, int] = {}
-        chosen: list[tuple[float, Machine]] = []
-        for ready, _, _, machine in offers:
-            if len(chosen) == need:
-                break
-            if spec.spread and counts.get(machine.zone, 0) >= most:
-                continue
-            counts[machine.zone] = counts.get(machine.zone, 0) + 1
-            chosen.append((ready, machine))
+            if machine.zone in zones:
+                offers += _offers(spec, machine, need, now, machine.name not in kept)
+        offers.sort(key=lambda offer: offer[:3])
+        chosen = _choose(spec, offers, need)
         if chosen:
-            last = chosen[-1][0]
-            hold = list({m.name: m for _, m in chosen}.values())
-            if best is None or (need - len(chosen), last, len(hold)) < best[:3]:
-                best = (need - len(chosen), last, len(hold), hold)
-    return (best[3], now + best[1], best[0] == 0) if best else None
+            hold = list({machine.name: machine for _, machine in chosen}.values())
+            rank = (need - len(chosen), chosen[-1][0], len(hold))
+            if best is None or rank < best[0]:
+                best = (rank, hold)
+    if best is None:
+        return None
+    (short, last, _), hold = best
+    return GangHold(hold, now + last, short == 0)
+
+
+def _offers(
+    spec: wire.Spec, machine: Machine, need: int, now: float, free_to_all: bool
+) -> list[Offer]:
+    """A machine's free places, one after the other, by when they are there."""
+    offers: list[Offer] = []
+    room, had = list(machine.room()), 0
+    tasks = sorted(
+        ((remaining(p, now), p) for p in machine.tasks.values() if p.active),
+        key=lambda pair: pair[0],
+    )
+    ready = 0.0
+    for left, placement in [*tasks, (0.0, None)]:
+        slots = _slots(spec, (room[0], room[1], room[2]), need)
+        offers += [(ready, free_to_all, machine.name, machine)] * (slots - had)
+        had = max(had, slots)
+        if placement is not None:
+            ready = left
+            for n, amount in enumerate((placement.cpus, placement.gpus, placement.memory_gb)):
+                room[n] += amount
+    return offers
+
+
+def _choose(spec: wire.Spec, offers: list[Offer], need: int) -> list[tuple[float, Machine]]:
+    """The first places, up to `need`, that don't put too many tasks into one zone."""
+    most = _most_per_zone(spec)
+    counts: dict[str, int] = {}
+    chosen: list[tuple[float, Machine]] = []
+    for ready, _, _, machine in offers:
+        if len(chosen) == need:
+            break
+        if spec.spread and counts.get(machine.zone, 0) >= most:
+            continue
+        counts[machine.zone] = counts.get(machine.zone, 0) + 1
+        chosen.append((ready, machine))
+    return chosen
--- a/src/copperpass/core/scheduling/gangs.py
+++ b/src/copperpass/core/scheduling/gangs.py
@@ -47,16 +47,13 @@
 
     def reached(self, now: float, job: Job) -> bool:
         """Whether all tasks of a gang can be told to stop within the time that saving takes."""
+        timing, machines = self.state.timing, self.state.machines
+        longest = min(timing.silence_s, timing.gang_notice_s)
         for name in job.placed.values():
-            machine = self.state.machines.get(name)
-            if (
-                machine is None
-                or machine.deaf_since is not None
-                or (
-                    now - machine.last_report
-                    > min(self.state.timing.silence_s, self.state.timing.gang_notice_s)
-                )
-            ):
+            machine = machines.get(name)
+            if machine is None or machine.deaf_since is not None:
+                return False
+            if now - machine.last_report > longest:
                 return False
         return True
 
@@ -128,19 +125,18 @@
         found = gang_hold(job, usable, self.machines, now, self.reservations.kept)
         if found is None:
             return set()
-        for machine in found[0]:
+        for machine in found.machines:
             # Not to be given back while a gang waits for the rest of its room, however long:
             # machines that come one by one and go back as idle never add up to its zone's part.
             machine.wanted_until = now + report_s
-        late = now - job.arrived > self.reservations.tuning.patience_s
-        if (late and not found[2]) or (
-            state.aims.due(job, now) - now
-            > self.reservations.tuning.patient_boots * state.timing.boot_s
-        ):
+        tuning = self.reservations.tuning
+        late = now - job.arrived > tuning.patience_s
+        slack = state.aims.due(job, now) - now
+        if (late and not found.whole) or slack > tuning.patient_boots * state.timing.boot_s:
             # What comes last holds nothing up; and a part of a gang's room is no use to anybody
             # for as long as it is held, so that has a bound.
             return set()
-        for machine in found[0]:
+        for machine in found.machines:
             machine.held_for, machine.held_until = job.spec.id, now + report_s
-            machine.held_ready = found[1]
+            machine.held_ready = found.ready
         return {job.spec.id}
--- a/src/copperpass/core/scheduling/tasks.py
+++ b/src/copperpass/core/scheduling/tasks.py
@@ -103,11 +103,8 @@
         job = self.jobs.jobs.get(placement.job_id)
         if job is None or not job.spec.gang or not job.begun or job.ending:
             # A gang that hasn't begun waits for a replacement under the same attempt.
-            placement.stop, placement.stopping_for, placement.stop_sent = (
-                self._save_s(placement),
-                why,
-                0.0,
-            )
+            placement.stop, placement.stopping_for = self._save_s(placement), why
+            placement.stop_sent = 0.0
         else:
             self.end_gang(now, job, why, self._save_s(placement))
 
