--- a/src/copperpass/core/jobs.py
+++ b/src/copperpass/core/jobs.py
@@ -64,6 +64,8 @@
     again: list[int] = field(default_factory=list)
     placed: dict[int, str] = field(default_factory=dict)
     finished: set[int] = field(default_factory=set)
+    # Tasks whose end was stored while they had a place; some may have lost it since.
+    done_placed: set[int] = field(default_factory=set)
     # Reported ends that wait to be stored: what to tell their machines once they are.
     results: dict[int, list[Result]] = field(default_factory=dict)
     storing: bool = False
@@ -92,12 +94,16 @@
         if not self.is_done(index):
             self.done[index >> 3] |= 1 << (index & 7)
             self.done_count += 1
+            if index in self.placed:
+                self.done_placed.add(index)
 
     def merge(self, done: bytes | bytearray) -> None:
         """Take over stored ends; ends are facts, so they only add up."""
         for i, byte in enumerate(done):
             self.done[i] |= byte
-        self.done_count = sum(byte.bit_count() for byte in self.done)
+        before, self.done_count = self.done_count, sum(byte.bit_count() for byte in self.done)
+        if self.done_count > before:
+            self.done_placed = {i for i in self.placed if self.is_done(i)}
         self.finished = {i for i in self.finished if not self.is_done(i)}
         # A write without an answer may have been applied: the watch is proof enough to clear.
         self.stored([i for i in self.results if self.is_done(i)])
@@ -121,6 +127,7 @@
         """Start anew from what is stored: a new owner knows nothing of the tasks."""
         self.placed.clear()
         self.finished.clear()
+        self.done_placed.clear()
         self.results.clear()
         self.again.clear()
         self.failed_on.clear()
@@ -131,9 +138,13 @@
 
     def waiting(self) -> int:
         """How many tasks are neither placed nor done."""
+        waiting = self.spec.tasks - self.done_count - len(self.placed) - len(self.finished)
         # A task may have ended under one attempt while another still has a place.
-        twice = sum(1 for i in self.placed if i in self.finished or self.is_done(i))
-        return self.spec.tasks - self.done_count - len(self.placed) - len(self.finished) + twice
+        if self.finished:
+            waiting += len(self.placed.keys() & self.finished)
+        if self.done_placed:
+            waiting += len(self.placed.keys() & self.done_placed)
+        return waiting
 
     def ended(self) -> bool:
         """Whether every task has ended, stored or not."""
--- a/tests/test_pool_scheduler.py
+++ b/tests/test_pool_scheduler.py
@@ -442,6 +442,10 @@
     assert [(o["verb"], o["page"]) for o in json.loads(call.body)["orders"]] == [
         ("run", "req-000001/1")
     ]
-    # The same with an end that is reported and not stored.
+    # The same with an end that is reported and not stored, and with one that is stored by us.
     bench.job.finished.add(1)
     assert bench.job.waiting() == 0 and bench.job.ended()
+    bench.job.stored([1])
+    assert bench.job.waiting() == 0 and bench.job.placed == {0: "m-1", 1: "m-1"}
+    bench.report([("req-000001/0", 5, "exited", wire.WHY_DONE)])
+    assert bench.job.waiting() == 0 and 0 not in bench.job.placed
