--- a/tests/test_rolling_upgrade.py
+++ b/tests/test_rolling_upgrade.py
@@ -318,7 +318,8 @@
             worker.hang(6.0)
         user = simulation.cancel("req-000001", next(n for n in simulation.names if n != owner))
         simulation.run_until(lambda: user.status == 200, 5)
-        simulation.run(0.3)
+        simulation.run_until(lambda: count(simulation, "running") < 4, 5)
+        assert count(simulation, "running")
     if new:
         simulation.crash(owner, 8.0)
     else:
