--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -1293,3 +1293,41 @@
                 told = self.cancelled.get(task.split("/")[0])
                 if told is not None and self.now - told > self.cancel_s:
                     self.broken.append(f"ran_cancelled: {task} still there")
+
+    def gang_fits(self, spec):
+        """Whether there is room for all tasks of a gang now, under its team's limit."""
+        used, room = 0.0, {}
+        for worker in self.cloud.workers():
+            on_it = [
+                key[0].split("/")[0] for key, t in worker.tasks.items() if t["state"] != "exited"
+            ]
+            used += sum(
+                self.specs[j]["cpus"] for j in on_it if self.specs[j]["desk"] == spec["desk"]
+            )
+            allowed = spec["borrowed"] or not worker.spot
+            if worker.alive and allowed and spec["hall"] in (None, worker.zone):
+                free = 16.0 - sum(self.specs[j]["cpus"] for j in on_it)
+                slots = int((free + 1e-6) / spec["cpus"]) if worker.notice is None else 0
+                room[worker.zone] = room.get(worker.zone, 0) + slots
+        if used + spec["cpus"] * spec["pages"] > {"red": 64.0, "blue": 48.0}[spec["desk"]]:
+            return False
+        if spec["same_place"]:
+            return max(room.values(), default=0) >= spec["pages"]
+        most = (spec["pages"] + 1) // 2 if spec["spread"] else spec["pages"]
+        return sum(min(most, slots) for slots in room.values()) >= spec["pages"]
+
+    def check_gangs_starved(self, waits, bound=90.0):
+        """As `check_starved`, for whole gangs; `waits`: since when each waits beside room."""
+        placed = {
+            key[0].split("/")[0]
+            for worker in self.cloud.workers()
+            for key, t in worker.tasks.items()
+            if t["state"] != "exited"
+        }
+        for job_id in sorted(self.told):
+            spec = self.specs[job_id]
+            over = f"{job_id}/0" in self.completed or job_id in self.cancelled
+            if spec["form"] != "ensemble" or over or job_id in placed or not self.gang_fits(spec):
+                waits.pop(job_id, None)
+            elif self.now - waits.setdefault(job_id, self.now) > bound:
+                self.broken.append(f"starved: {job_id}")
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -18,7 +18,7 @@
     runs,
     told,
 )
-from tests.simulation import Simulation, gang, job
+from tests.simulation import TYPE, Simulation, gang, job
 
 
 def test_a_gang_starts_whole_and_is_told_done():
@@ -195,15 +195,17 @@
     fine(simulation)
 
 
-def test_a_large_gang_and_a_stream_of_small_arrays_starve_neither():
-    simulation = begun(job(1, team="blue", run_s=5.0), capacity={("a", True): 3})
+# Guards what is held for a gang: of its team's limit (blue), and of the machines (red).
+@pytest.mark.parametrize("team", ["blue", "red"])
+def test_a_large_gang_and_a_stream_of_small_arrays_starve_neither(team):
+    simulation = begun(job(1, team=team, run_s=5.0), capacity={("a", True): 3})
     for number in range(2, 20):
-        simulation.submit(job(number, team="blue", run_s=5.0))
+        simulation.submit(job(number, team=team, run_s=5.0))
         simulation.run(1)
-    large = gang(20, team="blue", tasks=12, cpus=4.0, run_s=15.0)
+    large = gang(20, team=team, tasks=12, cpus=4.0, run_s=15.0)
     simulation.submit(large)
     for number in range(21, 171):
-        simulation.submit(job(number, team="blue", run_s=5.0))
+        simulation.submit(job(number, team=team, run_s=5.0))
         simulation.run(1)
     assert done(simulation, 20)(), "the large gang starves"
     simulation.run_until(done(simulation, *range(1, 171)), 150)
@@ -333,6 +335,62 @@
     fine(simulation)
 
 
+# Guards what a gang allows: each shape is told by the machines that it asks for and runs on.
+@pytest.mark.parametrize(
+    ("shape", "zones", "spot"),
+    [
+        ({"racks": ["box"]}, 1, True),
+        ({"hall": "b"}, 1, True),
+        ({"hall": "c"}, 1, True),
+        ({"borrowed": False}, 1, False),
+        ({"tasks": 1, "spread": True}, 1, True),
+        ({"tasks": 2, "same_place": False, "spread": True}, 2, True),
+        # Larger than any one zone, where three cheap machines and no other can be rented.
+        ({"tasks": 4, "same_place": False}, 2, True),
+    ],
+)
+def test_each_shape_of_gang_runs_where_it_may(shape, zones, spot):
+    capacity = {(z, s): 3 for z in "abc" for s in (True, False) if s or not spot}
+    simulation = begun(capacity=capacity)
+    # A cheaper type that the gang doesn't name.
+    crate = {**TYPE, "name": "crate", "price": 0.5, "low_price": 0.1}
+    simulation.cloud.offer = [TYPE, crate] if "racks" in shape else [TYPE]
+    for name in simulation.names:
+        simulation.crash(name, 0.1)
+    simulation.run_until(simulation.leader, 40)
+    # Leaves idle machines in a zone that the gang may not be allowed.
+    simulation.submit(job(2, tasks=3, cpus=16.0, hall="a", run_s=1.0))
+    simulation.run_until(done(simulation, 2), 60)
+    simulation.submit(gang(1, **{"tasks": 3, "cpus": 16.0, **shape}))
+    simulation.run_until(runs(simulation, 1), 90)
+    workers = [w for w, _, _ in marks(simulation, 1)]
+    assert min(len({w.zone for w in workers}), 2) == zones and {w.spot for w in workers} == {spot}
+    assert shape.get("hall") in (None, workers[0].zone)
+    (owner,) = simulation.nodes[simulation.leader()].schedulers
+    assert {owner.machines[w.name].type.name for w in workers} == {"box"}
+    simulation.run_until(done(simulation, 1), 60)
+    assert len(attempts(simulation, 1)) == 1
+    fine(simulation)
+
+
+# Guards the bound on a wait beside room: with gangs of all shapes and single tasks of both teams.
+def test_no_gang_waits_beside_room_for_it():
+    simulation, waits, number = begun(capacity={(z, True): 2 for z in "abc"}), {}, 0
+    for second in range(240):
+        if second < 150 and second % 6 == 0:
+            for shape in ({}, {"same_place": False}, {"same_place": False, "spread": True}):
+                number += 1
+                tasks = 1 + number % 5
+                simulation.submit(gang(number, tasks=tasks, **shape))
+            for team in ("red", "blue"):
+                number += 1
+                simulation.submit(job(number, team=team, run_s=6.0))
+        simulation.run(1.0)
+        simulation.check_gangs_starved(waits, 40.0)
+    simulation.run_until(done(simulation, *range(1, number + 1)), 400)
+    fine(simulation)
+
+
 @pytest.mark.parametrize("state", ["gathering", "running"])
 def test_an_owners_crash_costs_no_running_gang(state):
     simulation = Simulation(parted=True)
--- /dev/null
+++ b/tests/test_gangs_stop.py
@@ -0,0 +1,271 @@
+"""Gangs that fail, stop and begin again: orders, late and unknown reports, what is kept."""
+
+import json
+
+import pytest
+
+from copperpass import wire
+from copperpass.core.ports import Outcome
+from tests.gang_stories import attempts, begun, count, done, fine, marks, present, progress, runs
+from tests.simulation import gang, job
+from tests.test_pool_scheduler import Bench
+
+
+class GangBench(Bench):
+    """An owner with one machine on which a gang of three has been started."""
+
+    def __init__(self):
+        super().__init__()
+        record = json.dumps({"spec": gang(1, tasks=3, cpus=4.0)}).encode()
+        self.jobs.saw(self.now, "c/live/req-000001", record, 70)
+        self.shown = []
+        self.attempt = self.starts()[0]
+
+    def report(self, tasks, token=None, session=1, seq=None):
+        self.shown = tasks
+        return super().report(tasks, token, session, seq)
+
+    def starts(self):
+        """The attempts of the starts that a round sends, each answered."""
+        self.owner.round(self.now)
+        found = []
+        while calls := self.take("worker"):
+            for call in calls:
+                orders = json.loads(call.body)["orders"]
+                runs = [
+                    (o["page"], o["take"], "pulling", None) for o in orders if o["verb"] == "run"
+                ]
+                found += [attempt for _, attempt, _, _ in runs]
+                self.seq += 1
+                self.shown = self.shown + runs
+                body = wire.encode(self.message(self.shown, seq=self.seq))
+                call.then(self.now, Outcome(200, body))
+        return found
+
+    def tell(self, *states, attempt=None, seq=None):
+        """Report each task's state, or with `!` before it the reason of its exit."""
+        tasks = []
+        for index, state in enumerate(states):
+            if state is None:
+                continue
+            why = state[1:] if state.startswith("!") else None
+            shown = "exited" if why is not None else state
+            tasks.append((f"req-000001/{index}", attempt or self.attempt, shown, why))
+        return self.report(tasks, seq=seq)
+
+    def verbs(self, answer):
+        return [(c.op, c.task[-1]) for c in answer.commands]
+
+
+def test_the_bench_starts_a_gang_under_one_attempt():
+    bench = GangBench()
+    assert len(bench.job.placed) == 3 and bench.job.attempt == bench.attempt
+    assert not bench.job.begun and bench.job.shown() == 0
+
+
+# Guards against words of a later protocol: a state is of a task that is there, a reason of one that
+# isn't, whatever they say.
+def test_an_unknown_state_is_that_of_a_task_which_is_there():
+    bench = GangBench()
+    bench.tell("dreaming", "gathering", "gathering")
+    assert len(bench.job.placed) == 3 and not bench.job.begun and not bench.job.ending
+    assert bench.starts() == []
+
+
+@pytest.mark.parametrize("why", ["mates_gone", "alone", "halted", "error", "moonlight", ""])
+def test_whatever_the_reason_a_gang_that_has_run_begins_again_when_all_are_gone(why):
+    bench = GangBench()
+    bench.tell("running", "running", "running")
+    bench.tell("running", f"!{why}", "running")
+    assert bench.job.ending and bench.starts() == []
+    bench.tell("running", f"!{why}", "running")
+    answer = bench.tell("running", f"!{why}", "!mates_gone")
+    assert (wire.STOP, "0") in bench.verbs(answer)
+    assert bench.starts() == [], "task 0 is still there"
+    bench.tell("!mates_gone", f"!{why}", "!mates_gone")
+    bench.now += 30.0
+    # Cleared, for under the new attempt the machine would refuse what it still knows.
+    bench.report([])
+    again = bench.starts()
+    assert len(again) == 3 and len(set(again)) == 1 and again[0] > bench.attempt
+
+
+@pytest.mark.parametrize("words", [("gathering",) * 3, ("!mates_gone",) * 3, ("!alone",) * 3])
+def test_late_words_change_nothing(words):
+    bench = GangBench()
+    bench.tell("gathering", "gathering", "gathering")
+    old = bench.seq
+    bench.tell("running", "running", "running")
+    answer = bench.tell(*words, seq=old)
+    assert answer.commands == [] and bench.job.begun and not bench.job.ending
+    assert len(bench.job.placed) == 3 and bench.starts() == []
+
+
+@pytest.mark.parametrize("why", ["mates_gone", "alone"])
+def test_words_of_an_older_attempt_do_not_end_the_newer_one(why):
+    bench = GangBench()
+    bench.tell("running", "running", "running")
+    bench.tell(f"!{why}", f"!{why}", f"!{why}")
+    bench.report([])
+    first, bench.attempt = bench.attempt, bench.starts()[0]
+    exits = [(f"req-000001/{i}", first, "exited", why) for i in range(3)]
+    there = [(f"req-000001/{i}", bench.attempt, "gathering", None) for i in range(3)]
+    for tasks in (exits + there, there, exits + there):
+        bench.report(tasks)
+        assert bench.job.attempt == bench.attempt and not bench.job.ending
+        assert len(bench.job.placed) == 3 and bench.starts() == []
+
+
+@pytest.mark.parametrize("after", [None, "!no_room", "!in_use", "!unknown", "!error"])
+def test_a_gathering_task_that_is_lost_is_replaced_under_its_attempt(after):
+    bench = GangBench()
+    bench.tell("gathering", "pulling", "gathering")
+    bench.tell("gathering", after, "gathering")
+    bench.now += 3.0
+    # Cleared, for the machine would ignore the start of what it still knows.
+    bench.tell("gathering", None, "gathering")
+    assert not bench.job.ending and bench.starts() == [bench.attempt]
+
+
+# Guards the attempt that has started against a fourth member: it could never join the others.
+@pytest.mark.parametrize("after", [None, "!error", "!no_room", "!unknown", "!in_use"])
+def test_a_task_that_goes_unseen_after_the_start_ends_the_attempt(after):
+    bench = GangBench()
+    bench.tell("running", "gathering", "running")
+    answer = bench.tell("running", after, "running")
+    assert bench.job.ending and bench.starts() == []
+    assert {(wire.STOP, "0"), (wire.STOP, "2")} <= set(bench.verbs(answer))
+
+
+def started_under(simulation):
+    """The attempts of all starts that reach machines from now on."""
+    seen, original = [], simulation.gang
+
+    def noted(job_id, attempt):
+        seen.append(attempt)
+        return original(job_id, attempt)
+
+    simulation.gang = noted
+    return seen
+
+
+def test_nobody_is_replaced_after_the_start():
+    simulation = begun(gang(1, cpus=12.0, run_s=30.0))
+    seen = started_under(simulation)
+    simulation.run_until(runs(simulation, 1), 60)
+    (first,) = attempts(simulation, 1)
+    simulation.run(2.0)
+    simulation.cloud.take(marks(simulation, 1)[0][0].name)
+    simulation.run_until(done(simulation, 1), 150)
+    (first, again) = attempts(simulation, 1)
+    assert (seen.count(first), seen.count(again)) == (4, 4)
+    fine(simulation)
+
+
+def test_a_gang_whose_rest_finds_no_room_begins_elsewhere_before_it_gives_up():
+    simulation = begun(gang(1, cpus=12.0), gang_wait_s=60.0)
+    simulation.fetch_s["req-000001/3"] = 1e3
+    simulation.run_until(lambda: count(simulation, 1, "gathering") == 3, 60)
+    (zone,) = {w.zone for w, _, _ in marks(simulation, 1)}
+    simulation.cloud.capacity.update({(zone, True): 0, (zone, False): 0})
+    slow = next(w for w, key, _ in marks(simulation, 1) if key[0] == "req-000001/3")
+    idle = [w for w in simulation.cloud.workers() if w.zone == zone and not w.tasks]
+    for worker in [slow, *idle]:
+        simulation.cloud.take(worker.name)
+    simulation.fetch_s.clear()
+    simulation.run_until(lambda: len(attempts(simulation, 1)) == 2, 90)
+    assert not simulation.alone
+    simulation.run_until(done(simulation, 1), 90)
+    fine(simulation)
+
+
+# Guards against throwing progress away: a stop that can't save is worse than to run on.
+@pytest.mark.parametrize("trouble", ["too short", "not reached"])
+def test_a_stop_that_cannot_save_is_not_tried(trouble):
+    simulation = begun(gang(1, cpus=12.0, run_s=30.0, proof_s=100.0, flush_s=2.0))
+    simulation.lengths["req-000001"] = 60.0
+    simulation.run_until(runs(simulation, 1), 60)
+    simulation.run(5.0)
+    (victim, *others) = [w for w, _, _ in marks(simulation, 1)]
+    if trouble == "not reached":
+        for name in simulation.names:
+            simulation.cut(name, others[0].name)
+        simulation.run(5.0)
+    victim.notice = 1.5 if trouble == "too short" else 5.0
+    for _ in range(14):
+        simulation.run(0.1)
+        assert not count(simulation, 1, "flushing", "exited")
+    assert not simulation.lost_saves
+    simulation.heal()
+    victim.notice = None
+    simulation.run_until(done(simulation, 1), 250)
+    fine(simulation)
+
+
+def test_a_machine_that_goes_before_the_first_has_saved_costs_the_save_only():
+    simulation = begun(gang(1, cpus=12.0, run_s=40.0, flush_s=4.0))
+    simulation.lengths["req-000001"] = 40.0
+    simulation.run_until(runs(simulation, 1), 60)
+    simulation.run(8.0)
+    victim = marks(simulation, 1)[0][0]
+    victim.notice = 8.0
+    simulation.run_until(lambda: count(simulation, 1, "flushing") == 4, 5)
+    simulation.cloud.take(victim.name)
+    simulation.run_until(lambda: len(attempts(simulation, 1)) == 2 and runs(simulation, 1)(), 90)
+    assert progress(simulation, 1) == 5.0
+    simulation.run_until(done(simulation, 1), 90)
+    fine(simulation)
+
+
+# Guards the overlap of attempts: a task that hangs keeps its machine, its team's part and, with one
+# zone for all, its zone. The simulation notes what breaks a rule.
+@pytest.mark.parametrize("one_zone", [False, True])
+def test_the_next_attempt_waits_for_a_task_that_hangs(one_zone):
+    simulation = begun(
+        gang(1, team="blue", tasks=3, cpus=16.0, run_s=40.0, same_place=one_zone),
+        job(2, team="blue", tasks=30, cpus=4.0, run_s=4.0, urgency="low"),
+    )
+    simulation.run_until(runs(simulation, 1), 150)
+    simulation.run(6.0)
+    (lost, hung, _) = [w for w, _, _ in marks(simulation, 1)]
+    hung.hang(11.0)
+    simulation.cloud.take(lost.name)
+    until = simulation.now + 10.0
+    while simulation.now < until and hung.name in simulation.cloud.machines:
+        simulation.run(0.5)
+        assert len(attempts(simulation, 1)) == 1
+    simulation.run_until(done(simulation, 1, 2), 250)
+    fine(simulation)
+
+
+@pytest.mark.parametrize("state", ["flushing", "ending"])
+def test_a_cancelled_gang_that_is_being_stopped_is_gone(state):
+    simulation = begun(gang(1, cpus=12.0, run_s=300.0, flush_s=3.0))
+    simulation.run_until(runs(simulation, 1), 60)
+    simulation.run(6.0)
+    victim = marks(simulation, 1)[0][0]
+    if state == "flushing":
+        victim.notice = 9.0
+        simulation.run_until(lambda: count(simulation, 1, "flushing") == 4, 10)
+    else:
+        victim.hang(6.0)
+        simulation.run_until(lambda: count(simulation, 1, "exited") > 0, 10)
+    starts = simulation.starts
+    user = simulation.cancel("req-000001")
+    simulation.run_until(lambda: user.status is not None, 5)
+    assert user.status == 200
+    simulation.run_until(lambda: not present(simulation, 1), simulation.cancel_s)
+    simulation.run(60)
+    assert simulation.starts == starts and not present(simulation, 1)
+    fine(simulation)
+
+
+# Guards the end of a gang whose other machines are lost with their reports: one result is all.
+def test_one_done_task_ends_the_whole_gang():
+    bench = GangBench()
+    bench.tell("running", "running", "running")
+    bench.tell("!done", "running", "running")
+    (write,) = bench.take("state")
+    assert b'"final":"done"' in write.body
+    bench.tell("!done", None, None)
+    assert bench.starts() == []
