Stop a gang's task that is seen only after its attempt has ended

When an attempt ends, what is known of it is told to stop. A task on a machine that is taken over later was not: it kept its place, and the next attempt waited, until it gave up by itself after gang_wait_s. It is now told at once, with the time that saving takes, since the end may have been an orderly stop.

--- a/src/copperpass/core/pool_scheduler.py
+++ b/src/copperpass/core/pool_scheduler.py
@@ -654,6 +654,9 @@
 
     def _gang_seen(self, now: float, job: Job, p: Placement) -> None:
         """A task of a gang is reported as active."""
+        if job.ending and p.stop is None:
+            # Its machine was taken over only after the attempt had ended and the rest were told.
+            p.stop, p.stopping_for, p.stop_sent = self._save_s(p), "attempt over", 0.0
         if not job.attempt and not job.ending:
             # Taken over from an earlier owner: what is missing joins its attempt.
             job.attempt = p.attempt
--- a/tests/test_gangs_stop.py
+++ b/tests/test_gangs_stop.py
@@ -127,6 +127,19 @@
     assert not bench.job.ending and bench.starts() == [bench.attempt]
 
 
+# Guards against members of an attempt that is over which are seen only later: untold they would
+# hold their place until they give up.
+def test_a_task_that_is_seen_after_its_attempt_has_ended_is_stopped():
+    bench = GangBench()
+    bench.tell("running", "running", "running")
+    bench.tell("running", "!mates_gone", "running")
+    late = bench.take_over("m-2")
+    report = bench.message([("req-000001/1", bench.attempt, "gathering", None)], late.base, 1, 1)
+    report.machine, report.address = "m-2", "10.0.0.8:1"
+    answer = bench.owner.report(bench.now, report)
+    assert bench.verbs(answer) == [(wire.STOP, "1")]
+
+
 # Guards the attempt that has started against a fourth member: it could never join the others.
 @pytest.mark.parametrize("after", [None, "!error", "!no_room", "!unknown", "!in_use"])
 def test_a_task_that_goes_unseen_after_the_start_ends_the_attempt(after):
