Nobody joins the attempt of a gang's task that is a second copy and must go

Two copies of a gang's task, of two attempts, end both attempts. When the first had gone and the second was reported once more, its number was taken for the gang's attempt: the missing tasks, among them the same one on another machine, were started under it while the copy was still there. A copy that is being stopped now says nothing of the attempt; the next begins when it is proven gone.

--- a/src/copperpass/core/pool_scheduler.py
+++ b/src/copperpass/core/pool_scheduler.py
@@ -658,6 +658,9 @@
             # Its machine was taken over only after the attempt had ended and the rest were told.
             p.stop, p.stopping_for, p.stop_sent = self._save_s(p), "attempt over", 0.0
         if not job.attempt and not job.ending:
+            if p.stop is not None:
+                # The second copy of a task, which must go: nobody may join its attempt.
+                return
             # Taken over from an earlier owner: what is missing joins its attempt.
             job.attempt = p.attempt
         if p.attempt != job.attempt:
--- a/tests/test_gangs_stop.py
+++ b/tests/test_gangs_stop.py
@@ -150,6 +150,28 @@
     assert {(wire.STOP, "0"), (wire.STOP, "2")} <= set(bench.verbs(answer))
 
 
+def test_no_attempt_begins_beside_a_second_copy_of_an_older_one():
+    bench = GangBench()
+    bench.tell("gathering", "gathering", "gathering")
+    late = bench.take_over("m-2")
+
+    def copy(seq, *tasks):
+        bench.now += 1.0
+        report = bench.message(tasks, late.base, 1, seq)
+        report.machine, report.address = "m-2", "10.0.0.8:1"
+        return bench.owner.report(bench.now, report)
+
+    older = ("req-000001/0", bench.attempt - 1, "gathering", None)
+    answer = copy(1, older)
+    assert bench.verbs(answer) == [(wire.STOP, "0")] and bench.job.ending
+    bench.tell("!halted", "!halted", "!halted")
+    copy(2, older)
+    bench.report([])
+    assert not bench.job.placed and bench.starts() == []
+    copy(3)
+    assert len(bench.starts()) == 3
+
+
 def started_under(simulation):
     """The attempts of all starts that reach machines from now on."""
     seen, original = [], simulation.gang
