--- a/src/copperpass/core/scheduling/gangs.py
+++ b/src/copperpass/core/scheduling/gangs.py
@@ -24,6 +24,9 @@
             # Its machine was taken over only after the attempt had ended and the rest were told.
             self.tasks.stop(now, placement, "attempt over")
         if not job.attempt and not job.ending:
+            if placement.stop is not None:
+                # The second copy of a task, which must go: nobody may join its attempt.
+                return
             # Taken over from an earlier owner: what is missing joins its attempt.
             job.attempt = placement.attempt
         if placement.attempt != job.attempt:
