A job with ended tasks no longer waits for good beside room that is kept for others

Cause: room that is kept or held for others is opened to a job that has been left out for 72 s, but one whose first tasks had ended never counted as left out.

Ruled out: a machine taken for deaf or unsettled, the team's limit, a job on hold. All machines were usable, and the team had half of its limit free.

Now a job counts as left out when none of its tasks has had a place for that long, also after some have ended. For jobs without an ended task nothing changes.

--- a/src/copperpass/core/jobs.py
+++ b/src/copperpass/core/jobs.py
@@ -63,6 +63,8 @@
     next_index: int = 0
     again: list[int] = field(default_factory=list)
     placed: dict[int, str] = field(default_factory=dict)
+    # When a dispatch round last saw any of its tasks placed.
+    last_placed: float = float("-inf")
     finished: set[int] = field(default_factory=set)
     # Reported ends that wait to be stored: what to tell their machines once they are.
     results: dict[int, list[Result]] = field(default_factory=dict)
--- a/src/copperpass/core/pool_scheduler.py
+++ b/src/copperpass/core/pool_scheduler.py
@@ -1146,6 +1146,9 @@
         """One dispatch round."""
         self.dirty = False
         jobs = self.mine()
+        for job in jobs:
+            if job.placed:
+                job.last_placed = now
         self.scarce.note(now, jobs)
         if all(job.waiting() <= 0 for job in jobs):
             # Most reports of a quiet hour change nothing that could be started.
@@ -1299,12 +1302,14 @@
         self.next_round = now + min(tightest, 0.01 + 0.002 * backlog)
 
     def _left_out(self, job: Job, now: float) -> bool:
-        """Whether none of a job's tasks has started for so long that nothing is kept from it.
+        """Whether none of a job's tasks has had a place for so long that nothing is kept from it.
 
-        Room that is kept or held for others must not let a job wait beside it without a bound.
+        Room that is kept or held for others must not let a job wait beside it without a bound,
+        also when some of its tasks have ended before.
         """
-        waits = not job.placed and not job.finished and job.done_count == 0
-        return waits and now - job.arrived > KEPT_PART * self.tuning.patience_s
+        waits = not job.placed and not job.finished
+        since = max(job.arrived, job.last_placed) if job.done_count else job.arrived
+        return waits and now - since > KEPT_PART * self.tuning.patience_s
 
     def _place_gang(
         self,
--- a/tests/test_pool_scheduler.py
+++ b/tests/test_pool_scheduler.py
@@ -424,3 +424,26 @@
     assert len(json.loads(call.body)["orders"]) == 1, "it doesn't wait beside room"
     bench.owner.round(bench.now)
     assert not bench.take("worker"), "the rest of the room is still held"
+
+
+def test_a_job_that_has_begun_and_is_left_out_for_long_gets_room_that_is_kept_too():
+    # Its first task had ended, so it didn't count as left out, and waited beside idle machines
+    # that were kept for others until they were given back.
+    bench = Bench()
+    machine = bench.owner.machines["m-1"]
+    bench.add(tasks=3)
+    bench.job.mark_done(0)
+    bench.job.arrived = bench.now - 500.0
+    machine.held_for, machine.held_until = "req-000099", bench.now + 1000.0
+    bench.job.placed[1] = "m-1"
+    bench.owner.round(bench.now)
+    bench.job.placed.clear()
+    for _ in range(70):
+        bench.report([])
+        bench.owner.round(bench.now)
+    assert not bench.take("worker"), "held for another, and it had a place not long ago"
+    for _ in range(10):
+        bench.report([])
+    bench.owner.round(bench.now)
+    (call,) = bench.take("worker")
+    assert len(json.loads(call.body)["orders"]) == 1, "it doesn't wait beside room"
