--- a/src/copperpass/core/scheduling/dispatch_round.py
+++ b/src/copperpass/core/scheduling/dispatch_round.py
@@ -61,6 +61,9 @@
         state = self.state
         state.dirty = False
         jobs = state.own_jobs()
+        for job in jobs:
+            if job.placed:
+                job.last_placed = now
         self.reservations.scarce.note(now, jobs)
         if all(job.waiting() <= 0 for job in jobs):
             # Most reports of a quiet hour change nothing that could be started.
--- a/src/copperpass/core/scheduling/reservations.py
+++ b/src/copperpass/core/scheduling/reservations.py
@@ -24,12 +24,14 @@
         self.ordinary_peak = rental.Peak(self.tuning.warm_window_boots * state.timing.boot_s)
 
     def left_out(self, job: Job, now: float) -> bool:
-        """Whether none of a job's tasks has started for so long that nothing is kept from it.
+        """Whether none of a job's tasks has had a place for so long that nothing is kept from it.
 
-        Room that is kept or held for others must not let a job wait beside it without a bound.
+        Room that is kept or held for others must not let a job wait beside it without a bound,
+        also when some of its tasks have ended before.
         """
-        waits = not job.placed and not job.finished and job.done_count == 0
-        return waits and now - job.arrived > LEFT_OUT_PART * self.tuning.patience_s
+        waits = not job.placed and not job.finished
+        since = max(job.arrived, job.last_placed) if job.done_count else job.arrived
+        return waits and now - since > LEFT_OUT_PART * self.tuning.patience_s
 
     def policy(self, job: Job, left_out: bool, spot_only: bool, urgent: bool) -> PlacementPolicy:
         """Where the job's tasks may be started in this round, whether a gang's or single ones."""
