--- a/tests/test_service_guarantees.py
+++ b/tests/test_service_guarantees.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from copperpass.core.ports import Outcome
 from tests.simulation import Simulation, gang, job
 from tests.test_concurrent_failures import (
     new_leader,
@@ -12,6 +13,7 @@
     started_simulation,
     step,
 )
+from tests.test_pool_scheduler import Bench
 
 PARTED = pytest.mark.parametrize("parted", [False, True])
 
@@ -445,3 +447,33 @@
     simulation.finish()
     simulation.check_served(age_s=0.0)
     assert not simulation.broken
+
+
+# -- guards, by hand
+
+
+def test_nothing_starts_on_a_machine_that_the_fleets_record_does_not_know_as_up():
+    # The next leader would not know to ask it. Holds `recorded` in `Machine.usable`.
+    bench = Bench()
+    machine = bench.owner.machines["m-1"]
+    machine.recorded = False
+    bench.add()
+    bench.owner.round(bench.now)
+    assert not bench.take("worker")
+    machine.recorded = True
+    bench.owner.round(bench.now)
+    assert bench.take("worker")
+
+
+def test_a_start_without_an_answer_is_settled_by_a_restart_of_its_machine():
+    # Holds `_session_over` in `PoolScheduler._take`: a later session can't carry it out, although
+    # the new process has seen no token that passes it.
+    bench = Bench()
+    call, _ = bench.start()
+    call.then(bench.now, Outcome(0))
+    bench.report([])
+    assert bench.job.placed == {0: "m-1"}, "it may yet be carried out"
+    bench.report([], token=0, session=2, seq=1)
+    assert bench.job.placed == {}
+    bench.report([("req-000001/0", 99, "running", None)], session=1, seq=bench.seq + 1)
+    assert bench.job.placed == {}, "an older session says nothing of the new one"
