A large task is no longer starved by small ones of its team at the team's limit

Cause: where a team's small tasks kept it at its limit, each gap under the limit went to the next small one; the room under the limit was kept for gangs only. Ruled out: room on the machines, and the bound on waiting, which brings it to the head of the queue where it is passed over as beyond the limit.

The new test fails without the change in both forms, with one pool and with two.

--- a/src/copperpass/core/pool_scheduler.py
+++ b/src/copperpass/core/pool_scheduler.py
@@ -1267,6 +1267,9 @@
             if machine is None:
                 order[name].pop(0)
                 if over:
+                    if name not in quota and not can_wait and spec.cpus >= 4 * smallest:
+                        # As for gangs: small tasks of its team would take each gap under the limit.
+                        quota[name] = (job.arrived, spec.cpus, spec.gpus)
                     continue
                 stuck.append(job)
                 if name not in holding and not can_wait and spec.cpus >= 4 * smallest:
--- a/tests/test_service_guarantees.py
+++ b/tests/test_service_guarantees.py
@@ -72,6 +72,21 @@
     simulation.finish(600.0)
 
 
+@PARTED
+def test_a_large_task_is_not_starved_by_small_ones_at_its_teams_limit(parted):
+    # There is room on the machines, but small tasks of the team took each gap under its limit.
+    simulation = Simulation(seed=21, parted=parted)
+    simulation.run_until(simulation.leader)
+    for second in range(290):
+        if second % 2 == 0:
+            simulation.submit(job(second + 1, team="blue", tasks=2, cpus=4.0, run_s=12.0))
+        if second == 40:
+            simulation.submit(job(9000, team="blue", tasks=1, cpus=16.0, run_s=10.0, slot="none"))
+        step(simulation, 1.0)
+    simulation.check_served()
+    assert not simulation.broken and over(simulation, 9000)
+
+
 def test_the_check_of_what_is_served_sees_each_group_that_is_not():
     simulation = started_simulation([job(1, tasks=1, run_s=1.0)], 1)
     simulation.run_until(lambda: over(simulation, 1), 30)
