--- a/src/copperpass/core/scheduling/dispatch_round.py
+++ b/src/copperpass/core/scheduling/dispatch_round.py
@@ -212,12 +212,13 @@
             return
         now = self.now
         left_out = self.reservations.left_out(job, now)
-        if self._over_limit(name, job, left_out):
-            self.queues[name].pop(0)
-            return
         # Work that can wait does so for cheap room; dear room is for what can't.
         slack = self.aims.due(job, now) - now
         can_wait = slack > self.tuning.patient_boots * self.boot_s and not left_out
+        if self._over_limit(name, job, left_out):
+            self.queues[name].pop(0)
+            self._hold_quota(name, job, can_wait)
+            return
         machine = self._find_machine(job, slack, can_wait, left_out)
         if machine is None:
             self.queues[name].pop(0)
@@ -246,6 +247,18 @@
             used[1] + gpus + spec.gpus, team.gpus_max
         )
 
+    def _hold_quota(self, name: str, job: Job, can_wait: bool) -> None:
+        """Hold room under its team's limit for a large task.
+
+        As with gangs: small tasks of its team would take each gap under the limit.
+        """
+        if name not in self.quota and not can_wait and self._is_large(job):
+            self.quota[name] = (job.arrived, job.spec.cpus, job.spec.gpus)
+
+    def _is_large(self, job: Job) -> bool:
+        """Whether a job's tasks are large beside the smallest that are about."""
+        return job.spec.cpus >= LARGE_FACTOR * self.smallest
+
     def _find_machine(
         self, job: Job, slack: float, can_wait: bool, left_out: bool
     ) -> Machine | None:
@@ -274,7 +287,7 @@
         A large task never finds room among small ones that take each gap.
         """
         spec, now = job.spec, self.now
-        if name in self.holding or can_wait or spec.cpus < LARGE_FACTOR * self.smallest:
+        if name in self.holding or can_wait or not self._is_large(job):
             return
         self.holding.add(name)
         machine = machine_to_hold(job, self.usable, self.state.machines, now)
