--- a/src/copperpass/core/authority.py
+++ b/src/copperpass/core/authority.py
@@ -1,15 +1,15 @@
 """Who leads: a leased key, a token counter, and promises for outages.
 
 The argument is in docs/design.md. In short, with ttl the life of the leader
-key, P the length of promises, and B the longest bridge:
+key, P the length of promises, and B the longest extension of authority through an outage:
 
 - The key is counted from the *sending* of the request that won or renewed it.
 - A leader whose key may have ended keeps its authority only while *every* other
   member has promised not to campaign, and for at most B after its last renewal.
 - A candidate must itself be free of promises, and refuses them while it campaigns;
-  so no bridge can run from the moment that any member campaigns.
+  so no extension can run from the moment that any member campaigns.
 - A member that has just started may have promised before: it keeps still for P,
-  unless the last token was its own, since then the bridge would have been its own.
+  unless the last token was its own, since then the extension would have been its own.
 - A win counts only if its answer comes in time; tokens only rise.
 """
 
@@ -38,7 +38,7 @@
 
     ttl: float
     promise: float
-    bridge: float
+    extension: float
     lease: float
     cancel: float
 
@@ -49,8 +49,10 @@
             raise SettingsError("promise must be shorter than the leader key's life")
         if (self.ttl + 2 * self.promise) * slack >= self.lease:
             raise SettingsError("workers.lease_s: too short for a change of leader")
-        if self.bridge < 0 or (self.bridge + self.lease) * slack > self.cancel:
-            raise SettingsError("workers.cancel_s: too short for a bridge and a worker's lease")
+        if self.extension < 0 or (self.extension + self.lease) * slack > self.cancel:
+            raise SettingsError(
+                "workers.cancel_s: too short for an extension of authority and a worker's lease"
+            )
 
 
 def times_of(cluster: Cluster) -> Times:
@@ -172,7 +174,7 @@
         Guards cancelled jobs: a key that is renewed, or a grant that is pulled, says nothing of
         what this node has seen. Who acts on an older view may keep alive what it never saw end.
         """
-        return self.fresh_at() + self.times.bridge * (1 - 2 * DRIFT)
+        return self.fresh_at() + self.times.extension * (1 - 2 * DRIFT)
 
     def entitled(self, now: float) -> bool:
         """Whether this node may act for the controllers at this moment."""
@@ -342,7 +344,7 @@
             self.promised.clear()
             self.asked.clear()
             self.lease_until = valid
-            self.extension_until = self.new_lease_sent + self.times.bridge
+            self.extension_until = self.new_lease_sent + self.times.extension
             self.next_renewal = self.new_lease_sent + self.ttl / 4
             self.next_ask = now
             self.out.log("info", "leading", token=token, continued=continued)
@@ -387,7 +389,7 @@
             return
         if outcome.status == 200:
             self.lease_until = max(self.lease_until, sent + self.ttl * (1 - 2 * DRIFT))
-            self.extension_until = max(self.extension_until, sent + self.times.bridge)
+            self.extension_until = max(self.extension_until, sent + self.times.extension)
         elif outcome.status == 404:
             self.lease, self.lease_until = None, min(self.lease_until, now)
         else:
--- a/src/copperpass/core/node.py
+++ b/src/copperpass/core/node.py
@@ -30,12 +30,12 @@
 def pools_of(cluster: Cluster, tuning: Tuning) -> dict[str, int]:
     """The pool of each team: one each, or one for all where a controller can carry them.
 
-    Parting costs room, since a machine serves one pool at a time; it pays where the teams'
+    Partitioning costs room, since a machine serves one pool at a time; it pays where the teams'
     guarantees are more than one controller's processor should command.
     """
     guaranteed = sum(team.cpus for team in cluster.teams)
-    parted = guaranteed > tuning.part_cpus_per_core * cluster.resources.cores
-    return {team.name: n if parted else 0 for n, team in enumerate(cluster.teams)}
+    partitioned = guaranteed > tuning.part_cpus_per_core * cluster.resources.cores
+    return {team.name: n if partitioned else 0 for n, team in enumerate(cluster.teams)}
 
 
 class Node:
@@ -69,7 +69,7 @@
         # Of the records of ends.
         self.versions: dict[str, int] = {}
         self.pools = pools_of(cluster, self.tuning)
-        parted = len(set(self.pools.values())) > 1
+        partitioned = len(set(self.pools.values())) > 1
         self.authority = Authority(
             settings.name,
             [m.name for m in settings.members],
@@ -80,7 +80,7 @@
             self._authority_changed,
             now,
             lambda: self.view.fresh_at,
-            GRANT_PER_TTL * self.ttl if parted else 0.0,
+            GRANT_PER_TTL * self.ttl if partitioned else 0.0,
         )
         self.members = VersionRegistry(
             settings.name,
--- a/src/copperpass/core/scheduling/context.py
+++ b/src/copperpass/core/scheduling/context.py
@@ -79,12 +79,12 @@
         # A leader of an older version that gives up, or comes back within a moment, ends its key
         # before its grants: an owner of that term that hasn't seen it may answer workers for as
         # long as a grant.
-        parted = len(set(context.pools.values())) > 1
+        partitioned = len(set(context.pools.values())) > 1
         rerouted_s = 1.25 * report_s + wire.REPORT_WAIT_S + 3 * wire.NEXT_NODE_S
         return cls(
             report_s=report_s,
             lease_s=certain_lease_s(cluster),
-            overlap_s=GRANT_PER_TTL * times_of(cluster).ttl if parted else 0.0,
+            overlap_s=GRANT_PER_TTL * times_of(cluster).ttl if partitioned else 0.0,
             silence_s=silence_s,
             lost_s=max(1.5 * silence_s, rerouted_s),
             boot_s=rental.longest_boot(context.types),
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -856,7 +856,7 @@
         nodes=3,
         lease_s=12.0,
         cancel_s=40.0,
-        parted=False,
+        partitioned=False,
         coming=None,
         versions=None,
         gang_wait_s=None,
@@ -867,7 +867,7 @@
         self.coming, self.versions = coming, versions if versions is not None else {}
         self.mixed, self.running = versions is not None, {}
         # Below a bound on guarantees for each core all teams have one owner.
-        self.cores = 0.01 if parted else 1.0
+        self.cores = 0.01 if partitioned else 1.0
         self.rng = random.Random(seed)
         self.now, self.queue, self.order = 100.0, [], itertools.count()
         self.lease_s, self.cancel_s = lease_s, cancel_s
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -200,7 +200,7 @@
     ],
 )
 def test_lengths_that_break_the_argument_are_refused(change, word):
-    good = Times(ttl=3.0, promise=1.0, bridge=20.0, lease=12.0, cancel=40.0)
+    good = Times(ttl=3.0, promise=1.0, extension=20.0, lease=12.0, cancel=40.0)
     good.check()
     with pytest.raises(SettingsError, match=word):
         dataclasses.replace(good, **change).check()
--- a/tests/test_concurrent_failures.py
+++ b/tests/test_concurrent_failures.py
@@ -49,9 +49,9 @@
     return simulation.leader()
 
 
-@pytest.mark.parametrize("parted", [False, True])
-def test_more_work_than_room_urgent_and_not_over_slow_links(parted):
-    simulation = Simulation(seed=3, parted=parted)
+@pytest.mark.parametrize("partitioned", [False, True])
+def test_more_work_than_room_urgent_and_not_over_slow_links(partitioned):
+    simulation = Simulation(seed=3, partitioned=partitioned)
     simulation.cloud.capacity = {(z, s): 1 for z in "abc" for s in (True, False)}
     simulation.run_until(simulation.leader)
     simulation.lag = (0.05, 0.2)
@@ -78,10 +78,10 @@
     simulation.finish(400.0)
 
 
-@pytest.mark.parametrize("parted", [False, True])
+@pytest.mark.parametrize("partitioned", [False, True])
 @pytest.mark.parametrize("seed", [1, 2, 3])
-def test_transactions_without_an_answer_are_carried_out_after_newer_ones(seed, parted):
-    simulation = Simulation(seed=seed, parted=parted)
+def test_transactions_without_an_answer_are_carried_out_after_newer_ones(seed, partitioned):
+    simulation = Simulation(seed=seed, partitioned=partitioned)
     simulation.run_until(simulation.leader)
     simulation.late_writes = 0.25
     asked = {}
@@ -147,10 +147,10 @@
     simulation.finish()
 
 
-@pytest.mark.parametrize("parted", [False, True])
-def test_a_zone_with_workers_and_a_controller_is_cut_off_for_longer_than_a_lease(parted):
+@pytest.mark.parametrize("partitioned", [False, True])
+def test_a_zone_with_workers_and_a_controller_is_cut_off_for_longer_than_a_lease(partitioned):
     specs = [job(n, tasks=3, run_s=30.0, team="red" if n % 2 else "blue") for n in range(1, 7)]
-    simulation = started_simulation(specs, 12, parted=parted)
+    simulation = started_simulation(specs, 12, partitioned=partitioned)
     for zone, name in (("a", "n0"), ("b", "n1"), ("c", "n2")):
         inside = {name, *(w.name for w in simulation.cloud.workers() if w.zone == zone)}
         outside = {*simulation.names, *(w.name for w in simulation.cloud.workers())} - inside
@@ -165,10 +165,10 @@
     simulation.finish()
 
 
-@pytest.mark.parametrize("parted", [False, True])
-def test_leaders_change_ten_times_in_two_minutes_also_inside_an_outage(parted):
+@pytest.mark.parametrize("partitioned", [False, True])
+def test_leaders_change_ten_times_in_two_minutes_also_inside_an_outage(partitioned):
     specs = [job(n, tasks=4, cpus=2.0, run_s=60.0) for n in range(1, 6)]
-    simulation = started_simulation(specs, 20, parted=parted)
+    simulation = started_simulation(specs, 20, partitioned=partitioned)
     for turn in range(10):
         old = simulation.leader()
         if old is not None:
@@ -195,11 +195,11 @@
 
 
 @pytest.mark.parametrize("trouble", ["unreachable", "deaf", "mute", "hung"])
-@pytest.mark.parametrize("parted", [False, True])
-def test_a_leader_ends_while_machines_with_long_tasks_do_not_hear_the_new_one(trouble, parted):
+@pytest.mark.parametrize("partitioned", [False, True])
+def test_a_leader_ends_while_machines_with_long_tasks_do_not_hear_the_new_one(trouble, partitioned):
     # Holds what is unseen in `Demand.startable`.
     simulation = started_simulation(
-        [job(n, tasks=4, run_s=100.0, slot="slow") for n in (1, 2)], 8, parted=parted
+        [job(n, tasks=4, run_s=100.0, slot="slow") for n in (1, 2)], 8, partitioned=partitioned
     )
     victims = [w for w in simulation.cloud.workers() if w.on_it()][:2]
     old = simulation.leader()
@@ -296,10 +296,10 @@
     simulation.finish()
 
 
-@pytest.mark.parametrize("parted", [False, True])
-def test_jobs_bound_to_one_zone_lose_machines(parted):
+@pytest.mark.parametrize("partitioned", [False, True])
+def test_jobs_bound_to_one_zone_lose_machines(partitioned):
     # Holds `zone_allows`.
-    simulation = Simulation(seed=2, parted=parted)
+    simulation = Simulation(seed=2, partitioned=partitioned)
     simulation.run_until(simulation.leader)
     simulation.submit(job(1, tasks=6, cpus=8.0, run_s=15.0, hall="b"))
     simulation.submit(job(2, tasks=6, cpus=8.0, run_s=15.0, same_place=True, team="blue"))
@@ -327,13 +327,17 @@
     simulation.finish(500.0)
 
 
-@pytest.mark.parametrize("parted", [False, True])
+@pytest.mark.parametrize("partitioned", [False, True])
 @pytest.mark.parametrize("trouble", ["cut", "deaf", "hung"])
-def test_a_team_is_at_its_limit_when_the_leader_changes_and_a_job_is_cancelled(parted, trouble):
+def test_a_team_is_at_its_limit_when_the_leader_changes_and_a_job_is_cancelled(
+    partitioned, trouble
+):
     specs = [job(n, tasks=3, cpus=4.0, run_s=90.0, team="blue") for n in range(1, 5)]
     # Holds `_usage`'s count of what may run unseen: room is free, and later jobs start at once.
     room = job(8, tasks=12, cpus=4.0, run_s=1.0)
-    simulation = started_simulation([room, *specs, job(9, tasks=2, run_s=50.0)], 14, parted=parted)
+    simulation = started_simulation(
+        [room, *specs, job(9, tasks=2, run_s=50.0)], 14, partitioned=partitioned
+    )
     simulation.run_until(lambda: over(simulation, 8), 60)
     for n in range(20, 24):
         simulation.submit(job(n, tasks=3, cpus=4.0, run_s=5.0, team="blue"))
@@ -373,11 +377,11 @@
     simulation.finish()
 
 
-@pytest.mark.parametrize("parted", [False, True])
-def test_a_leader_keeps_workers_and_users_alone_and_jobs_are_cancelled_elsewhere(parted):
+@pytest.mark.parametrize("partitioned", [False, True])
+def test_a_leader_keeps_workers_and_users_alone_and_jobs_are_cancelled_elsewhere(partitioned):
     # Holds the end of authority in `Authority.entitled`.
     specs = [job(n, tasks=2, run_s=120.0, slot="slow") for n in range(1, 7)]
-    simulation = started_simulation(specs, 12, parted=parted)
+    simulation = started_simulation(specs, 12, partitioned=partitioned)
     old = simulation.leader()
     simulation.isolate(old)
     new = new_leader(simulation, old)
@@ -388,11 +392,11 @@
     simulation.finish(500.0)
 
 
-@pytest.mark.parametrize("parted", [False, True])
+@pytest.mark.parametrize("partitioned", [False, True])
 @pytest.mark.parametrize("back", [0.1, 0.6, 5.0])
-def test_controllers_hand_over_and_back_all_end_and_one_returns(back, parted):
+def test_controllers_hand_over_and_back_all_end_and_one_returns(back, partitioned):
     simulation = started_simulation(
-        [job(n, tasks=4, cpus=2.0, run_s=60.0) for n in range(1, 5)], 16, parted=parted
+        [job(n, tasks=4, cpus=2.0, run_s=60.0) for n in range(1, 5)], 16, partitioned=partitioned
     )
     first = simulation.leader()
     simulation.nodes[first].authority.step_down(simulation.now, "hand over", shun=3.0)
@@ -410,7 +414,7 @@
 def test_a_leader_is_refused_alone_for_about_the_life_of_its_key(length):
     """Its key ends while promises carry it, it wins again: members must get grants again."""
     specs = [job(n, tasks=4, run_s=40.0, team="red" if n % 2 else "blue") for n in range(1, 5)]
-    simulation = started_simulation(specs, 12, parted=True)
+    simulation = started_simulation(specs, 12, partitioned=True)
     old = simulation.leader()
     simulation.refused.add(old)
     step(simulation, length * 0.22 * simulation.lease_s)
@@ -426,7 +430,7 @@
 
 def test_a_term_that_goes_on_gives_no_pool_while_grants_of_the_one_before_run():
     # Holds `ClusterManager.wait_out`.
-    simulation = started_simulation([job(1, tasks=4, run_s=20.0)], 4, parted=True)
+    simulation = started_simulation([job(1, tasks=4, run_s=20.0)], 4, partitioned=True)
     node = simulation.nodes[simulation.leader()]
     grantee = next(t for n, t in node.cluster_manager.grantees.items() if n != simulation.leader())
     grantee.granted_until = simulation.now + 3.0
@@ -441,7 +445,7 @@
 @pytest.mark.parametrize("seed", [1, 2])
 def test_a_leader_on_a_bridge_wins_again_while_the_others_cannot_see_it(seed):
     specs = [job(n, tasks=4, run_s=40.0, team="red" if n % 2 else "blue") for n in range(1, 5)]
-    simulation = started_simulation(specs, 12, parted=True, seed=seed)
+    simulation = started_simulation(specs, 12, partitioned=True, seed=seed)
     old, life = simulation.leader(), 0.22 * simulation.lease_s
     token = simulation.nodes[old].authority.token
     simulation.refused.add(old)
@@ -690,7 +694,7 @@
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_a_leader_is_back_within_a_moment_while_the_owners_cannot_see_it(seed):
     specs = [job(n, tasks=4, run_s=60.0, team="red" if n % 2 else "blue") for n in range(1, 5)]
-    simulation = started_simulation(specs, 12, parted=True, seed=seed)
+    simulation = started_simulation(specs, 12, partitioned=True, seed=seed)
     simulation.run(1.2 * simulation.lease_s)
     old = simulation.leader()
     simulation.refused = set(simulation.names) - {old}
@@ -706,7 +710,7 @@
 
 def test_a_leader_that_gives_up_ends_its_key_only_after_its_grants():
     # Its successor would give the pools away while owners under those grants start new jobs.
-    simulation = Simulation(seed=5, parted=True)
+    simulation = Simulation(seed=5, partitioned=True)
     simulation.run_until(simulation.leader)
     simulation.run(3.0)
     leader = simulation.leader()
@@ -724,7 +728,7 @@
 
 
 def test_a_remote_owner_says_where_a_job_must_find_room():
-    simulation = Simulation(seed=3, parted=True)
+    simulation = Simulation(seed=3, partitioned=True)
     simulation.run_until(lambda: all(n.members.all_proven() for n in simulation.nodes.values()), 10)
     simulation.run(3.0)
     leader = simulation.nodes[simulation.leader()]
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -362,10 +362,10 @@
             simulation.cancel(job_id)
 
 
-@pytest.mark.parametrize("parted", [False, True])
+@pytest.mark.parametrize("partitioned", [False, True])
 @pytest.mark.parametrize("seed", range(1, 9))
-def test_random_days_keep_every_rule(seed, parted):
-    simulation = Simulation(seed=seed, parted=parted)
+def test_random_days_keep_every_rule(seed, partitioned):
+    simulation = Simulation(seed=seed, partitioned=partitioned)
     rng = random.Random(1000 + seed)
     simulation.run_until(simulation.leader)
     number = 0
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -9,8 +9,8 @@
 from tests.test_end_to_end import running
 
 
-def started_simulation(parted=False, **more):
-    simulation = Simulation(parted=parted)
+def started_simulation(partitioned=False, **more):
+    simulation = Simulation(partitioned=partitioned)
     simulation.run_until(simulation.leader)
     simulation.run(3.0)
     for n in range(1, 5):
@@ -30,9 +30,9 @@
 
 
 @pytest.mark.parametrize("gap", [0.3, 1.2, 2.5])
-@pytest.mark.parametrize("parted", [False, True])
-def test_cancelled_while_the_leader_is_refused_alone_and_then_everybody(parted, gap):
-    simulation = started_simulation(parted)
+@pytest.mark.parametrize("partitioned", [False, True])
+def test_cancelled_while_the_leader_is_refused_alone_and_then_everybody(partitioned, gap):
+    simulation = started_simulation(partitioned)
     old = simulation.leader()
     simulation.refused.add(old)
     others = [n for n in simulation.names if n != old]
@@ -50,7 +50,7 @@
 
 
 def test_an_owner_refused_alone_passes_its_pool_on():
-    simulation = started_simulation(parted=True)
+    simulation = started_simulation(partitioned=True)
     leader = simulation.leader()
     shares = simulation.nodes[leader].cluster_manager.pools.values()
     pool = next(p for p in shares if p.owner != leader)
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -117,9 +117,9 @@
     fine(simulation)
 
 
-@pytest.mark.parametrize("parted", [False, True])
-def test_a_gang_that_loses_a_member_goes_on_from_its_checkpoint(parted):
-    simulation = begun(gang(1, cpus=12.0, run_s=40.0), parted=parted)
+@pytest.mark.parametrize("partitioned", [False, True])
+def test_a_gang_that_loses_a_member_goes_on_from_its_checkpoint(partitioned):
+    simulation = begun(gang(1, cpus=12.0, run_s=40.0), partitioned=partitioned)
     simulation.run_until(runs(simulation, 1), 60)
     simulation.run(13.0)
     first = attempts(simulation, 1)
@@ -184,10 +184,13 @@
     fine(simulation)
 
 
-@pytest.mark.parametrize("parted", [False, True])
-def test_two_gangs_for_the_last_room_run_one_after_the_other(parted):
+@pytest.mark.parametrize("partitioned", [False, True])
+def test_two_gangs_for_the_last_room_run_one_after_the_other(partitioned):
     simulation = begun(
-        gang(1, cpus=8.0), gang(2, team="blue", cpus=8.0), capacity={("a", True): 3}, parted=parted
+        gang(1, cpus=8.0),
+        gang(2, team="blue", cpus=8.0),
+        capacity={("a", True): 3},
+        partitioned=partitioned,
     )
     simulation.run_until(done(simulation, 1, 2), 150)
     assert simulation.waited < 20.0 and not simulation.alone and not simulation.lost_saves
@@ -393,7 +396,7 @@
 
 @pytest.mark.parametrize("state", ["gathering", "running"])
 def test_an_owners_crash_costs_no_running_gang(state):
-    simulation = Simulation(parted=True)
+    simulation = Simulation(partitioned=True)
 
     def holders():
         entitled = [
@@ -419,10 +422,14 @@
     fine(simulation)
 
 
-@pytest.mark.parametrize("parted", [False, True])
+@pytest.mark.parametrize("partitioned", [False, True])
 @pytest.mark.parametrize("seed", range(1, 5))
-def test_random_days_with_gangs_keep_every_rule(seed, parted):
-    simulation, rng, number = Simulation(seed=seed, parted=parted), random.Random(2000 + seed), 0
+def test_random_days_with_gangs_keep_every_rule(seed, partitioned):
+    simulation, rng, number = (
+        Simulation(seed=seed, partitioned=partitioned),
+        random.Random(2000 + seed),
+        0,
+    )
     simulation.run_until(simulation.leader, 20)
     end = simulation.now + 240.0
     while simulation.now < end:
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -16,8 +16,8 @@
     }
 
 
-def parted(seed=1):
-    simulation = Simulation(seed=seed, parted=True)
+def partitioned(seed=1):
+    simulation = Simulation(seed=seed, partitioned=True)
     simulation.run_until(lambda: simulation.leader() and len(owners(simulation)) == 2, 20)
     return simulation
 
@@ -38,7 +38,7 @@
 
 
 def test_teams_go_to_different_members_and_run_on_machines_of_their_own():
-    simulation = parted()
+    simulation = partitioned()
     assert (
         len(set(owners(simulation).values())) == 2
         and simulation.leader() not in owners(simulation).values()
@@ -51,7 +51,7 @@
 
 
 def test_an_owners_crash_costs_its_team_seconds_and_no_task():
-    simulation = parted()
+    simulation = partitioned()
     started(simulation)
     starts, owner = simulation.starts, owners(simulation)[0]
     simulation.crash(owner, back_after=8.0)
@@ -67,7 +67,7 @@
 def test_machines_outlive_a_handover_long_after_they_were_rented():
     # A new owner that had not heard its machines yet said they were not up, and the leader took
     # them for machines that never came up and deleted hundreds.
-    simulation = parted()
+    simulation = partitioned()
     started(simulation)
     simulation.run(6 * 10.0)
     before = {w.name for w in simulation.cloud.workers() if w.on_it()}
@@ -77,7 +77,7 @@
 
 
 def test_an_owner_cut_off_stops_before_its_pool_is_given_to_another():
-    simulation = parted()
+    simulation = partitioned()
     started(simulation)
     owner = owners(simulation)[0]
     for name in simulation.names:
@@ -102,7 +102,7 @@
 
 
 def test_a_leaders_crash_costs_no_task():
-    simulation = parted()
+    simulation = partitioned()
     started(simulation)
     starts, old = simulation.starts, simulation.leader()
     simulation.crash(old, back_after=8.0)
@@ -114,7 +114,7 @@
 
 
 def test_an_owner_back_within_a_fraction_of_a_second_holds_nothing_of_its_earlier_run():
-    simulation = parted()
+    simulation = partitioned()
     started(simulation)
     starts, owner = simulation.starts, owners(simulation)[0]
     simulation.crash(owner, back_after=0.2)
@@ -126,7 +126,7 @@
 
 
 def test_an_idle_machine_moves_to_the_team_that_needs_it():
-    simulation = parted()
+    simulation = partitioned()
     for place in simulation.cloud.capacity:
         simulation.cloud.capacity[place] = 1 if place == ("a", True) else 0
     simulation.submit(job(1, tasks=1, run_s=5.0))
@@ -138,7 +138,7 @@
 
 
 def test_a_grant_that_a_newer_one_has_overtaken_changes_nothing():
-    simulation = parted()
+    simulation = partitioned()
     name = owners(simulation)[0]
     grant_client = simulation.nodes[name].grant_client
     number = max(grant_client.asked)
@@ -159,7 +159,7 @@
 
 def test_a_pool_of_the_leaders_own_goes_to_a_member_that_comes_back():
     # The first to lead once kept all pools for good, and its processor served the whole fleet.
-    simulation = parted()
+    simulation = partitioned()
     started(simulation)
     starts, owner = simulation.starts, owners(simulation)[1]
     simulation.crash(owner, back_after=6.0)
--- a/tests/test_rolling_upgrade.py
+++ b/tests/test_rolling_upgrade.py
@@ -16,10 +16,12 @@
 both = pytest.mark.parametrize("old", sorted(OLD))
 
 
-def rolled(order, seed, old, coming=COMING, parted=False):
+def rolled(order, seed, old, coming=COMING, partitioned=False):
     """A simulation in which every member runs an earlier version, and jobs run."""
     old = production.load(OLD[old])
-    simulation = Simulation(seed, coming=coming, parted=parted, versions=dict.fromkeys(order, old))
+    simulation = Simulation(
+        seed, coming=coming, partitioned=partitioned, versions=dict.fromkeys(order, old)
+    )
     simulation.run_until(simulation.leader)
     for n in range(1, 5):
         simulation.submit(job(n, team="red" if n % 2 else "blue", tasks=3, run_s=30.0))
@@ -80,7 +82,7 @@
 
 @both
 def test_processes_that_die_before_and_after_their_turn_and_leaders_of_both_versions(old):
-    simulation = rolled(["n0", "n1", "n2"], seed=3, old=old, parted=True)
+    simulation = rolled(["n0", "n1", "n2"], seed=3, old=old, partitioned=True)
     led, owned, rng = set(), set(), random.Random(5)
     for number, name in enumerate(["n1", "n2", "n0"], 5):
         # Before its turn it comes back old; after it, new, whoever leads meanwhile.
@@ -183,7 +185,7 @@
 
 @both
 def test_a_cut_and_an_outage_while_both_versions_serve(old):
-    simulation = rolled(["n0", "n1", "n2"], seed=32, old=old, parted=True)
+    simulation = rolled(["n0", "n1", "n2"], seed=32, old=old, partitioned=True)
     turn(simulation, "n0")
     simulation.run(5.0)
     # New and old apart; then, with one of each left to promise, the state service is out.
@@ -206,7 +208,7 @@
 def test_going_back_to_0_3_0_member_by_member_and_onwards_again():
     # Guards what docs/operations.md promises: nothing that this version stores harms 0.3.0.
     order = ["n1", "n0", "n2"]
-    simulation = rolled(order, seed=33, old="0.3.0", parted=True)
+    simulation = rolled(order, seed=33, old="0.3.0", partitioned=True)
     for name in order:
         turn(simulation, name)
         simulation.run(4.0)
@@ -226,7 +228,7 @@
 
 def test_no_older_member_is_sent_what_it_does_not_know():
     # Guards the proof before new frames: 0.2.0 raises on them here, and closes its link there.
-    simulation = rolled(["n0", "n1", "n2"], seed=34, old="0.2.0", parted=True)
+    simulation = rolled(["n0", "n1", "n2"], seed=34, old="0.2.0", partitioned=True)
     turn(simulation, "n1")
     simulation.run(5.0)
     simulation.submit(job(5, tasks=8, cpus=8.0, same_place=True))
@@ -272,7 +274,7 @@
     Returns the simulation, the pool and its owner.
     """
     old = production.load()
-    simulation = Simulation(41, parted=True, versions=dict.fromkeys(["n0", "n1", "n2"], old))
+    simulation = Simulation(41, partitioned=True, versions=dict.fromkeys(["n0", "n1", "n2"], old))
     forbid_used_attempts(simulation)
     simulation.run_until(lambda: len(owners(simulation)) == 2)
     owner = "n1" if new else owners(simulation)[0]
--- a/tests/test_service_guarantees.py
+++ b/tests/test_service_guarantees.py
@@ -15,7 +15,7 @@
 )
 from tests.test_pool_scheduler import Bench
 
-PARTED = pytest.mark.parametrize("parted", [False, True])
+PARTED = pytest.mark.parametrize("partitioned", [False, True])
 
 
 def busy(simulation):
@@ -33,13 +33,13 @@
 
 @PARTED
 @pytest.mark.parametrize("size", ["few machines", "any machine", "gang", "overload"])
-def test_the_largest_begin_in_time_beside_bursts_of_small_urgent_jobs(size, parted):
+def test_the_largest_begin_in_time_beside_bursts_of_small_urgent_jobs(size, partitioned):
     # Work without an aim comes last until it is overdue, and a whole machine is never free by
     # itself while small tasks take each gap. Holds the room held for a large task in
     # `PoolScheduler.round`: without it none of them begins in the overload.
     overload = size == "overload"
     cpus, run_s = (4.0, 14.0) if overload else (2.0, 12.0)
-    simulation = Simulation(seed=11, parted=parted)
+    simulation = Simulation(seed=11, partitioned=partitioned)
     simulation.cloud.capacity = {(z, s): 1 for z in "abc" for s in (True, False)}
     simulation.run_until(simulation.leader)
     number = 0
@@ -76,9 +76,9 @@
 
 
 @PARTED
-def test_a_large_task_is_not_starved_by_small_ones_at_its_teams_limit(parted):
+def test_a_large_task_is_not_starved_by_small_ones_at_its_teams_limit(partitioned):
     # There is room on the machines, but small tasks of the team took each gap under its limit.
-    simulation = Simulation(seed=21, parted=parted)
+    simulation = Simulation(seed=21, partitioned=partitioned)
     simulation.run_until(simulation.leader)
     for second in range(290):
         if second % 2 == 0:
@@ -130,10 +130,10 @@
 
 
 @PARTED
-def test_no_task_starts_after_its_cancellation_was_confirmed(parted):
+def test_no_task_starts_after_its_cancellation_was_confirmed(partitioned):
     # Holds the direct stops. What has its image while the word is under way begins all the same:
     # to the other controller, to the machine, that takes two of the longest ways.
-    simulation = Simulation(seed=13, parted=parted)
+    simulation = Simulation(seed=13, partitioned=partitioned)
     simulation.run_until(simulation.leader)
     simulation.submit(job(1, tasks=8, cpus=4.0, run_s=200.0))
     simulation.run_until(lambda: running(simulation) == 8, 60)
@@ -149,11 +149,11 @@
 
 @PARTED
 @pytest.mark.parametrize("hang", [0.5, 0.9, 1.5])
-def test_cancelled_tasks_end_though_their_machines_hang_from_that_moment(hang, parted):
+def test_cancelled_tasks_end_though_their_machines_hang_from_that_moment(hang, partitioned):
     # Every team is at its limit, and the leader changes too.
     specs = [job(n, tasks=4, cpus=8.0, run_s=300.0) for n in (1, 2)]
     specs += [job(n, tasks=3, cpus=8.0, run_s=300.0, team="blue") for n in (3, 4)]
-    simulation = started_simulation(specs, 14, parted=parted)
+    simulation = started_simulation(specs, 14, partitioned=partitioned)
     victims = busy(simulation)
     users = [simulation.cancel(f"req-{n:06d}") for n in range(1, 5)]
     for worker in victims[::2]:
@@ -173,10 +173,10 @@
 
 
 @PARTED
-def test_users_ask_and_cancel_at_a_controller_that_keeps_its_workers_alone(parted):
+def test_users_ask_and_cancel_at_a_controller_that_keeps_its_workers_alone(partitioned):
     # It can store nothing: it must neither confirm nor deny, for as long as it lasts.
     specs = [job(n, tasks=2, run_s=150.0, slot="slow") for n in range(1, 7)]
-    simulation = started_simulation(specs, 12, parted=parted)
+    simulation = started_simulation(specs, 12, partitioned=partitioned)
     old = simulation.leader()
     simulation.run(2.0)
     simulation.isolate(old)
@@ -197,11 +197,11 @@
 
 
 @PARTED
-def test_jobs_are_cancelled_while_the_work_of_an_owner_changes_hands(parted):
+def test_jobs_are_cancelled_while_the_work_of_an_owner_changes_hands(partitioned):
     simulation = started_simulation(
         [job(n, tasks=2, run_s=300.0, team="red" if n % 2 else "blue") for n in range(1, 9)],
         16,
-        parted=parted,
+        partitioned=partitioned,
     )
     for n in range(1, 9):
         owners = [name for name, node in sorted(simulation.nodes.items()) if node.schedulers]
@@ -256,10 +256,10 @@
 
 @PARTED
 @pytest.mark.parametrize("seed", [1, 2, 3])
-def test_members_are_back_within_moments_in_mid_election_again_and_again(seed, parted):
+def test_members_are_back_within_moments_in_mid_election_again_and_again(seed, partitioned):
     # A process that is back has forgotten its promises and its campaign.
     specs = [job(n, tasks=4, cpus=2.0, run_s=90.0) for n in range(1, 6)]
-    simulation = started_simulation(specs, 20, parted=parted, seed=seed)
+    simulation = started_simulation(specs, 20, partitioned=partitioned, seed=seed)
     starts, rng = simulation.starts, simulation.rng
     for turn in range(6):
         old = simulation.leader()
@@ -281,10 +281,12 @@
 
 @PARTED
 @pytest.mark.parametrize("back", [0.0, 0.2, 0.9])
-def test_machines_are_back_within_a_moment_with_nothing_on_them(back, parted):
+def test_machines_are_back_within_a_moment_with_nothing_on_them(back, partitioned):
     # Same address, a later session: the tasks are gone and start again, here or elsewhere.
     specs = [job(n, tasks=4, run_s=25.0, team="red" if n % 2 else "blue") for n in (1, 2, 3)]
-    simulation = started_simulation([*specs, gang(4, tasks=3, run_s=25.0)], 15, parted=parted)
+    simulation = started_simulation(
+        [*specs, gang(4, tasks=3, run_s=25.0)], 15, partitioned=partitioned
+    )
     for turn in range(3):
         for worker in busy(simulation)[turn % 2 :: 2]:
             worker.restart(back)
@@ -299,9 +301,9 @@
 
 
 @PARTED
-def test_deaf_machines_late_copies_and_a_new_leader(parted):
+def test_deaf_machines_late_copies_and_a_new_leader(partitioned):
     specs = [job(n, tasks=3, run_s=60.0, team="red" if n % 2 else "blue") for n in range(1, 5)]
-    simulation = started_simulation(specs, 12, parted=parted)
+    simulation = started_simulation(specs, 12, partitioned=partitioned)
     simulation.late_reports = 0.5
     for turn in range(3):
         simulation.deaf = {w.name for w in busy(simulation)[turn::3]}
@@ -317,9 +319,9 @@
 
 
 @PARTED
-def test_an_old_report_reaches_every_controller_just_as_a_new_leader_begins(parted):
+def test_an_old_report_reaches_every_controller_just_as_a_new_leader_begins(partitioned):
     specs = [job(n, tasks=2, run_s=5.0 + 8.0 * n) for n in range(1, 7)]
-    simulation = started_simulation(specs, 10, parted=parted)
+    simulation = started_simulation(specs, 10, partitioned=partitioned)
     for turn in range(4):
         old = simulation.leader()
         copies = [body for w in simulation.cloud.workers() for _, body in w.sent[-6::2]]
@@ -343,9 +345,9 @@
 
 @PARTED
 @pytest.mark.parametrize("seed", [1, 2, 3])
-def test_commands_of_a_leader_that_has_ended_or_been_deposed_arrive_late(seed, parted):
+def test_commands_of_a_leader_that_has_ended_or_been_deposed_arrive_late(seed, partitioned):
     specs = [job(n, tasks=3, run_s=40.0, team="red" if n % 2 else "blue") for n in range(1, 4)]
-    simulation = started_simulation(specs, 9, parted=parted, seed=seed)
+    simulation = started_simulation(specs, 9, partitioned=partitioned, seed=seed)
     simulation.late_commands = 0.5
     for turn in range(6):
         for n in range(3):
@@ -369,10 +371,10 @@
 
 @PARTED
 @pytest.mark.parametrize("seed", [1, 2])
-def test_new_machines_get_work_at_once_while_writes_lag_and_the_leader_ends(seed, parted):
+def test_new_machines_get_work_at_once_while_writes_lag_and_the_leader_ends(seed, partitioned):
     # A machine that the fleet's record doesn't know as up must run nothing yet: the next leader
     # would not know to ask it.
-    simulation = Simulation(seed=seed, parted=parted)
+    simulation = Simulation(seed=seed, partitioned=partitioned)
     simulation.cloud.boot_s = (0.5, 2.0)
     simulation.run_until(simulation.leader)
     for turn in range(5):
@@ -397,8 +399,8 @@
 
 
 @PARTED
-def test_transactions_are_carried_out_and_only_their_answers_are_lost(parted):
-    simulation = Simulation(seed=15, parted=parted)
+def test_transactions_are_carried_out_and_only_their_answers_are_lost(partitioned):
+    simulation = Simulation(seed=15, partitioned=partitioned)
     simulation.run_until(simulation.leader)
     simulation.lost_answers = 0.3
     for n in range(1, 26):
@@ -427,8 +429,8 @@
 
 @PARTED
 @pytest.mark.parametrize("seed", [1, 2, 3])
-def test_random_troubles_meet_and_most_is_served(seed, parted):
-    simulation = Simulation(seed=seed, parted=parted)
+def test_random_troubles_meet_and_most_is_served(seed, partitioned):
+    simulation = Simulation(seed=seed, partitioned=partitioned)
     rng, number = functools.partial(simulation.rng.random), 0
     simulation.run_until(simulation.leader)
     for second in range(180):
