--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -196,7 +196,7 @@
     [
         ({"promise": 99.0}, "promise"),
         ({"lease": 3.0}, "lease_s"),
-        ({"bridge": 39.0}, "cancel_s"),
+        ({"extension": 39.0}, "cancel_s"),
     ],
 )
 def test_lengths_that_break_the_argument_are_refused(change, word):
