--- a/tests/test_concurrent_failures.py
+++ b/tests/test_concurrent_failures.py
@@ -19,6 +19,19 @@
     return sum(len(w.on_it()) for w in simulation.cloud.workers())
 
 
+def make_unreachable(simulation, worker, trouble, hang_s):
+    """Break contact with a machine: `deaf`, `mute`, `hung` for a while, or cut off."""
+    if trouble == "deaf":
+        simulation.deaf.add(worker.name)
+    elif trouble == "mute":
+        simulation.mute.add(worker.name)
+    elif trouble == "hung":
+        worker.hang(hang_s)
+    else:
+        for name in simulation.names:
+            simulation.cut(name, worker.name)
+
+
 def started_simulation(jobs, count, seed=1, **more):
     """A simulation with jobs that run."""
     simulation = Simulation(seed=seed, **more)
@@ -204,15 +217,7 @@
     victims = [w for w in simulation.cloud.workers() if w.on_it()][:2]
     old = simulation.leader()
     for worker in victims:
-        if trouble == "deaf":
-            simulation.deaf.add(worker.name)
-        elif trouble == "mute":
-            simulation.mute.add(worker.name)
-        elif trouble == "hung":
-            worker.hang(0.8 * simulation.lease_s)
-        else:
-            for name in simulation.names:
-                simulation.cut(name, worker.name)
+        make_unreachable(simulation, worker, trouble, 0.8 * simulation.lease_s)
     simulation.crash(old, 6.0)
     new_leader(simulation, old)
     simulation.cancel("req-000001")
@@ -344,13 +349,7 @@
     simulation.run(3.0)
     old = simulation.leader()
     for worker in [w for w in simulation.cloud.workers() if w.on_it()][::2]:
-        if trouble == "deaf":
-            simulation.deaf.add(worker.name)
-        elif trouble == "hung":
-            worker.hang(0.9 * simulation.lease_s)
-        else:
-            for name in simulation.names:
-                simulation.cut(name, worker.name)
+        make_unreachable(simulation, worker, trouble, 0.9 * simulation.lease_s)
     simulation.crash(old, 1.0)
     simulation.run(1.5)
     users = [simulation.cancel("req-000001")]
