--- a/src/copperpass/core/manager/allocation_plan.py
+++ b/src/copperpass/core/manager/allocation_plan.py
@@ -47,7 +47,7 @@
         if left is None or left.tasks <= 0:
             continue
         tasks, cpus = left.tasks, left.cpus
-        cap = min(tasks, team.cpus_max * tasks / cpus) if cpus > 0 else tasks
+        cap = min(tasks, team.cpus_limit * tasks / cpus) if cpus > 0 else tasks
         weight = team.gpus if gpus_matter and team.gpus > 0 else team.cpus
         request = (cpus / tasks, left.second / tasks)
         claims.append(allocation.Claim(team.name, request, max(weight, LEAST_WEIGHT), cap))
--- a/src/copperpass/core/manager/demand.py
+++ b/src/copperpass/core/manager/demand.py
@@ -68,7 +68,7 @@
 
     def sample(self, now: float, demand: Demand) -> None:
         """Take a measure into all peaks."""
-        limit = sum(team.cpus_max for team in self.cluster.teams)
+        limit = sum(team.cpus_limit for team in self.cluster.teams)
         total = demand.total_urgent
         self.peak.add(now, min(total, limit))
         self.cheap_peak.add(now, min(total, limit))
--- a/src/copperpass/core/scheduling/demand.py
+++ b/src/copperpass/core/scheduling/demand.py
@@ -64,16 +64,16 @@
         None: the limit has no room for the whole of a gang, so it needs no machines.
         """
         spec, count = job.spec, job.waiting()
-        room = self.state.by_team[spec.team].cpus_max - taken[spec.team]
+        room = self.state.by_team[spec.team].cpus_limit - taken[spec.team]
         if len(job.failed_on) >= FAILED_MACHINES and not spec.gang:
             # Probably it has a mistake; but it must find room to try again while it is wanted.
             count = 1
         taken[spec.team] += count * spec.cpus
         if spec.cpus > 0:
-            under = max(0, int(room / spec.cpus + EPS))
+            under = max(0.0, room / spec.cpus + EPS)
             if spec.gang and under < count:
                 return None
-            count = min(count, under)
+            count = int(min(count, under))
         return count
 
     def usage(self) -> dict[str, tuple[float, float]]:
@@ -133,7 +133,7 @@
             memory = sum(r[2] for r in recent) / count
             cap = float(demand[team.name])
             if cpus > 0:
-                cap = min(cap, team.cpus_max / cpus)
+                cap = min(cap, team.cpus_limit / cpus)
             weight = team.gpus if self.gpus_matter and team.gpus > 0 else team.cpus
             second = gpus if self.gpus_matter else memory
             weight = max(weight, LEAST_WEIGHT)
--- a/src/copperpass/core/scheduling/dispatch_round.py
+++ b/src/copperpass/core/scheduling/dispatch_round.py
@@ -243,8 +243,8 @@
         if job.arrived <= since or left_out:
             # What has waited for longer isn't held up: neither starves the other.
             cpus = gpus = 0.0
-        return not fits(used[0] + cpus + spec.cpus, team.cpus_max) or not fits(
-            used[1] + gpus + spec.gpus, team.gpus_max
+        return not fits(used[0] + cpus + spec.cpus, team.cpus_limit) or not fits(
+            used[1] + gpus + spec.gpus, team.gpus_limit
         )
 
     def _hold_quota(self, name: str, job: Job, can_wait: bool) -> None:
--- a/src/copperpass/core/scheduling/gangs.py
+++ b/src/copperpass/core/scheduling/gangs.py
@@ -82,8 +82,8 @@
         """Start all missing tasks of a gang or none; None: the team's limit has no room for it."""
         spec, count = job.spec, len(job.missing())
         team = self.state.by_team[spec.team]
-        if not fits(used[0] + count * spec.cpus, team.cpus_max) or not fits(
-            used[1] + count * spec.gpus, team.gpus_max
+        if not fits(used[0] + count * spec.cpus, team.cpus_limit) or not fits(
+            used[1] + count * spec.gpus, team.gpus_limit
         ):
             return None
         if self._earlier_attempt_left(job):
--- a/src/copperpass/core/users.py
+++ b/src/copperpass/core/users.py
@@ -52,7 +52,7 @@
     team = next((t for t in cluster.teams if t.name == spec.team), None)
     if team is None:
         raise Rejection(422, "desk: unknown team")
-    if not fits(spec.cpus, team.cpus_max) or not fits(spec.gpus, team.gpus_max):
+    if not fits(spec.cpus, team.cpus_limit) or not fits(spec.gpus, team.gpus_limit):
         raise Rejection(422, "a task needs more than the team's limit")
     zones = {
         zone
@@ -70,8 +70,8 @@
 
 def _check_gang(spec: wire.Spec, team: Team, zones: set[str]) -> None:
     """Raise a Rejection when a gang, whose tasks all run at once, can never run."""
-    if not fits(spec.cpus * spec.tasks, team.cpus_max) or not fits(
-        spec.gpus * spec.tasks, team.gpus_max
+    if not fits(spec.cpus * spec.tasks, team.cpus_limit) or not fits(
+        spec.gpus * spec.tasks, team.gpus_limit
     ):
         raise Rejection(422, "the gang needs more than the team's limit")
     if spec.spread and spec.tasks > 1 and (spec.one_zone or len(zones) < 2):
--- a/src/copperpass/settings.py
+++ b/src/copperpass/settings.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import tomllib
 from typing import Any
 
@@ -24,6 +25,11 @@
     addr: str
 
 
+def _limit(most: float) -> float:
+    """A limit as written in the settings: 0 means that there is none."""
+    return most if most > 0 else math.inf
+
+
 class Services(msgspec.Struct):
     """Addresses of the outside systems."""
 
@@ -32,7 +38,10 @@
 
 
 class Team(msgspec.Struct):
-    """A team's guarantee and limit."""
+    """A team's guarantee and limit, as written; an amount of 0 stands for none.
+
+    Code asks for `cpus_limit` and `gpus_limit`: infinite for a team without a limit.
+    """
 
     name: str
     cpus: float
@@ -40,6 +49,16 @@
     gpus: float = 0.0
     gpus_max: float = 0.0
 
+    @property
+    def cpus_limit(self) -> float:
+        """The most CPUs that the team's tasks may use at a time."""
+        return _limit(self.cpus_max)
+
+    @property
+    def gpus_limit(self) -> float:
+        """The most GPUs that the team's tasks may use at a time."""
+        return _limit(self.gpus_max)
+
 
 class Objective(msgspec.Struct, rename={"job_class": "class"}):
     """One aim that the users state."""
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -17,23 +17,7 @@
 from copperpass.core.fleet import UNIDENTIFIED
 from copperpass.core.node import Node
 from copperpass.core.ports import Outcome
-
-TYPE = {
-    "name": "box",
-    "cpus": 16.0,
-    "cards": 0.0,
-    "memory_gb": 64.0,
-    "local_gb": 20.0,
-    "fetch_gb_per_s": 1.0,
-    "price": 1.0,
-    "low_price": 0.4,
-    "startup_s": 10.0,
-    "halls": ["a", "b", "c"],
-}
-
-
-# Limits of the state service: changes a second, KiB a value, changes a transaction.
-LIMITS = {"write_rps": 60.0, "value_kb": 32.0, "txn_ops": 16}
+from tests.deployments import LIMITS, TWO_TEAMS, TYPE, Deployment
 
 
 def raw_settings(
@@ -45,6 +29,7 @@
     coming=None,
     gang_wait_s=42.0,
     gang_peer_s=4.0,
+    deployment: Deployment = TWO_TEAMS,
 ):
     names = [f"n{i}" for i in range(nodes)]
     zones = ["a", "b", "c"]
@@ -62,15 +47,8 @@
         "new_and_unknown": 1,
         "settings": {
             "zones": zones,
-            "teams": [
-                {"name": "red", "cpus": 32.0, "cpus_max": 64.0, "gpus": 0.0, "gpus_max": 0.0},
-                {"name": "blue", "cpus": 32.0, "cpus_max": 48.0, "gpus": 0.0, "gpus_max": 0.0},
-            ],
-            "objectives": [
-                {"kind": "wait", "class": "quick", "within_s": 4.0, "share": 0.9},
-                {"kind": "finished", "class": "slow", "within_s": 200.0, "share": 0.9},
-                {"kind": "guarantee", "within_s": 5.0, "share": 0.9},
-            ],
+            "teams": list(deployment.teams),
+            "objectives": list(deployment.objectives),
             "workers": {
                 "report_s": 1.0,
                 "lease_s": lease_s,
@@ -78,9 +56,9 @@
                 "gang_wait_s": gang_wait_s,
                 "gang_peer_s": gang_peer_s,
             },
-            "state": {"rps": 200.0, **LIMITS, **({"next": coming} if coming else {})},
-            "cloud": {"rps": 8.0, "list_lag_s": 3.0},
-            "resources": {"cores": cores},
+            "state": {**deployment.state, **({"next": coming} if coming else {})},
+            "cloud": {"rps": deployment.cloud_rps, "list_lag_s": 3.0},
+            "resources": {"cores": cores, "max_connections": deployment.max_connections},
         },
     }
 
@@ -125,13 +103,16 @@
 class State:
     """The state service: keys, leases, guarded transactions and watches."""
 
-    def __init__(self, simulation):
+    def __init__(self, simulation, deployment=TWO_TEAMS):
         self.simulation = simulation
         self.data, self.revision, self.log = {}, 0, []
         self.leases, self.lease_ids = {}, itertools.count(1)
         self.down = False
         self.watches = []
-        self.limits, self.level, self.filled = dict(LIMITS), LIMITS["write_rps"], 0.0
+        # What the settings say, and what holds now.
+        self.announced = {name: deployment.state[name] for name in LIMITS}
+        self.limits, self.level = dict(self.announced), self.announced["write_rps"]
+        self.filled = 0.0
         self.writes, self.too_large, self.too_fast, self.largest = 0, 0, 0, 0
 
     def drop(self, **limits):
@@ -238,7 +219,9 @@
         writes = txn["writes"]
         refused = self.refuses(txn)
         if refused is not None:
-            assert refused == 429 or self.limits != LIMITS, "beyond the limits of the settings"
+            assert refused == 429 or self.limits != self.announced, (
+                "beyond the limits of the settings"
+            )
             reply(refused, b'{"error":"limits"}')
             return
         if any(w.get("permit") is not None and w["permit"] not in self.leases for w in writes):
@@ -512,8 +495,9 @@
 class Worker:
     """A machine and the tasks on it."""
 
-    def __init__(self, simulation, name, zone, spot):
+    def __init__(self, simulation, name, zone, spot, kind=TYPE):
         self.simulation, self.name, self.zone, self.spot = simulation, name, zone, spot
+        self.kind = kind
         self.session, self.seq, self.token = 1, 0, 0
         self.tasks = {}
         self.renewed = simulation.now
@@ -593,7 +577,7 @@
             {
                 "press": self.name,
                 "address": self.name,
-                "rack": "box",
+                "rack": self.kind["name"],
                 "hall": self.zone,
                 "borrowed": self.spot,
                 "shift": self.session,
@@ -687,7 +671,7 @@
             why = "unknown"
         elif any(other[0] == task for other in self.tasks):
             why = "in_use"
-        elif used + spec["cpus"] > 16.0 + 1e-6:
+        elif used + spec["cpus"] > self.kind["cpus"] + 1e-6:
             why = "no_room"
         if why:
             self.tasks[key] = {"state": "exited", "why": why, "cpus": 0.0, "saved": False}
@@ -752,8 +736,8 @@
     def __init__(self, simulation):
         self.simulation = simulation
         self.bookings, self.machines, self.names = {}, {}, itertools.count(1)
-        self.offer = [TYPE]
-        self.capacity = {(z, s): 3 for z in "abc" for s in (True, False)}
+        self.offer = list(simulation.deployment.offer)
+        self.capacity = dict(simulation.deployment.capacity)
         # Between what bounds the time lies that a machine takes to boot.
         self.boot_s = (6.0, 15.0)
 
@@ -764,12 +748,12 @@
             ask = json.loads(body)
             if ask["booking"] not in self.bookings:
                 place = (ask["hall"], ask["borrowed"])
-                live = sum(1 for m in self.machines.values() if m["place"] == place)
-                count = min(ask["count"], self.capacity[place] - live)
+                kind = next(kind for kind in self.offer if kind["name"] == ask["rack"])
+                count = min(ask["count"], self.left(kind, place))
                 if count <= 0:
                     reply(503, b'{"error":"no capacity"}')
                     return
-                self.bookings[ask["booking"]] = [self.rent(place) for _ in range(count)]
+                self.bookings[ask["booking"]] = [self.rent(place, kind) for _ in range(count)]
             reply(200, json.dumps({"presses": self.bookings[ask["booking"]]}).encode())
         elif path == "/rentals/release":
             for name in json.loads(body)["presses"]:
@@ -785,7 +769,7 @@
                             {
                                 "id": n,
                                 "address": n,
-                                "rack": "box",
+                                "rack": m["kind"]["name"],
                                 "hall": m["place"][0],
                                 "borrowed": m["place"][1],
                                 "held_s": self.simulation.now - m["at"],
@@ -799,16 +783,26 @@
                 ).encode(),
             )
 
-    def rent(self, place):
+    def left(self, kind, place):
+        """How many more machines there are of a type in a place."""
+        typed = (kind["name"], *place)
+        if typed in self.capacity:
+            live = [m for m in self.machines.values() if (m["kind"]["name"], *m["place"]) == typed]
+            return self.capacity[typed] - len(live)
+        live = [m for m in self.machines.values() if m["place"] == place]
+        return self.capacity[place] - len(live)
+
+    def rent(self, place, kind):
         name = f"m-{next(self.names):06d}"
-        self.machines[name] = {"place": place, "at": self.simulation.now, "worker": None}
+        now = self.simulation.now
+        self.machines[name] = {"place": place, "kind": kind, "at": now, "worker": None}
         self.simulation.after(self.simulation.rng.uniform(*self.boot_s), lambda: self.boot(name))
         return name
 
     def boot(self, name):
         machine = self.machines.get(name)
         if machine:
-            machine["worker"] = Worker(self.simulation, name, *machine["place"])
+            machine["worker"] = Worker(self.simulation, name, *machine["place"], machine["kind"])
 
     def take(self, name):
         machine = self.machines.pop(name, None)
@@ -861,7 +855,9 @@
         versions=None,
         gang_wait_s=None,
         gang_peer_s=4.0,
+        deployment=TWO_TEAMS,
     ):
+        self.deployment = deployment
         # The limits that the settings announce; the older version that a member's next process
         # runs (`tests/production.py`), by name; and those of the processes there are.
         self.coming, self.versions = coming, versions if versions is not None else {}
@@ -881,7 +877,7 @@
         self.alone, self.waited, self.lost_saves = set(), 0.0, []
         self.unwanted, self.fetch_s, self.refusals = set(), {}, {}
         self.names = [f"n{i}" for i in range(nodes)]
-        self.state, self.cloud = State(self), Cloud(self)
+        self.state, self.cloud = State(self, deployment), Cloud(self)
         self.specs, self.completed, self.cancelled = {}, set(), {}
         self.told, self.broken = {}, []
         self.told_by = {name: {} for name in self.names}
@@ -985,6 +981,7 @@
             self.coming,
             self.gang_wait_s,
             self.gang_peer_s,
+            self.deployment,
         )
         seed, version = self.rng.getrandbits(32), self.versions.get(name)
         self.running[name] = version
@@ -1217,9 +1214,11 @@
             for t in w.on_it()
             if self.specs[t.split("/")[0]]["desk"] == team
         )
-        limit = {"red": 64.0, "blue": 48.0}[team]
+        limit = self.deployment.limit(team)
         if used > limit + 1e-6:
             self.broken.append(f"quota: {team} {used}")
+        if worker.kind["name"] not in (spec.get("racks") or [worker.kind["name"]]):
+            self.broken.append(f"wrong_place: {task}")
         if worker.spot and not spec["borrowed"]:
             self.broken.append(f"wrong_place: {task}")
         if spec.get("hall") not in (None, worker.zone):
@@ -1276,7 +1275,7 @@
     def check_starved(self, bound=90.0):
         """To be called about once a second without troubles: who waits beside room that fits?"""
         on = {}
-        used = dict.fromkeys(("red", "blue"), 0.0)
+        used = dict.fromkeys(self.deployment.team_names, 0.0)
         for worker in self.cloud.workers():
             for (task, _), t in worker.tasks.items():
                 if t["state"] != "exited":
@@ -1285,12 +1284,12 @@
         for job_id in sorted(self.told):
             spec = self.specs[job_id]
             ended = all(f"{job_id}/{i}" in self.completed for i in range(spec["pages"]))
-            limit = {"red": 64.0, "blue": 48.0}[spec["desk"]]
+            limit = self.deployment.limit(spec["desk"])
             fits = used[spec["desk"]] + spec["cpus"] <= limit and any(
                 w.alive
                 and sum(t["cpus"] for t in w.tasks.values() if t["state"] != "exited")
                 + spec["cpus"]
-                <= 16.0
+                <= w.kind["cpus"]
                 and (spec["borrowed"] or not w.spot)
                 and spec["hall"] in (None, w.zone)
                 and w.notice is None
@@ -1380,10 +1379,10 @@
             )
             allowed = spec["borrowed"] or not worker.spot
             if worker.alive and allowed and spec["hall"] in (None, worker.zone):
-                free = 16.0 - sum(self.specs[j]["cpus"] for j in on_it)
+                free = worker.kind["cpus"] - sum(self.specs[j]["cpus"] for j in on_it)
                 slots = int((free + 1e-6) / spec["cpus"]) if worker.notice is None else 0
                 room[worker.zone] = room.get(worker.zone, 0) + slots
-        if used + spec["cpus"] * spec["pages"] > {"red": 64.0, "blue": 48.0}[spec["desk"]]:
+        if used + spec["cpus"] * spec["pages"] > self.deployment.limit(spec["desk"]):
             return False
         if spec["same_place"]:
             return max(room.values(), default=0) >= spec["pages"]
--- /dev/null
+++ b/tests/test_one_team.py
@@ -0,0 +1,110 @@
+"""A deployment of one team that has neither guarantee nor limit, on two types of machines."""
+
+import functools
+import math
+import random
+
+import pytest
+
+from copperpass import settings as settings_module
+from tests.deployments import ONE_TEAM
+from tests.simulation import Simulation, job, raw_settings
+
+
+def simulate(seed=1):
+    return Simulation(seed=seed, lease_s=10.0, cancel_s=30.0, deployment=ONE_TEAM)
+
+
+def test_an_amount_of_zero_stands_for_no_limit():
+    # Read as a limit of nothing, every submission got 422 and nothing ran.
+    solo = settings_module.parse(raw_settings(deployment=ONE_TEAM)).cluster.teams[0]
+    assert (solo.cpus_limit, solo.gpus_limit) == (math.inf, math.inf)
+    red = settings_module.parse(raw_settings()).cluster.teams[0]
+    assert red.cpus_limit == 64.0
+
+
+def test_a_team_without_a_limit_uses_all_machines():
+    simulation = simulate()
+    simulation.run_until(simulation.leader)
+    accepted = [
+        simulation.submit(job(1, team="solo", tasks=40, cpus=8.0, run_s=40.0)),
+        simulation.submit(job(2, team="solo", tasks=12, cpus=32.0, run_s=40.0)),
+    ]
+    refused = simulation.submit(job(3, team="solo", cpus=65.0))
+    wide = simulation.submit(job(4, team="solo", cpus=32.0, hall="b"))
+    simulation.run(2)
+    assert [user.status for user in accepted] == [201, 201]
+    # No type that is offered holds it; the larger type isn't offered in that zone.
+    assert (refused.status, wide.status) == (422, 422)
+    simulation.run_until(lambda: len(simulation.cloud.workers()) == 21, 120)
+    simulation.finish()
+
+
+def trouble(simulation, rng):
+    """Now and then something fails."""
+    act, names, workers = rng.random(), sorted(simulation.nodes), simulation.cloud.workers()
+    if act < 0.05 and names:
+        simulation.crash(rng.choice(names), rng.choice([0.1, 0.4, 4.0]))
+    elif act < 0.06 and names:
+        for name in names:
+            simulation.crash(name, rng.choice([0.1, 4.0]))
+    elif act < 0.08 and names:
+        simulation.isolate(rng.choice(names))
+    elif act < 0.09:
+        simulation.outage(rng.uniform(2, 20))
+    elif act < 0.11:
+        simulation.slow_state = rng.choice([0.0, 0.5])
+    elif act < 0.13:
+        simulation.late_writes = rng.choice([0.0, 0.2])
+    elif act < 0.15:
+        simulation.late_reports = rng.choice([0.0, 0.3])
+    elif act < 0.17 and workers:
+        rng.choice(workers).hang(rng.uniform(1.0, 14.0))
+    elif act < 0.19 and workers:
+        simulation.deaf = {rng.choice(workers).name}
+    elif act < 0.23 and workers:
+        for worker in workers:
+            if worker.spot and rng.random() < 0.5:
+                worker.notice = 5.0
+                gone = functools.partial(simulation.cloud.take, worker.name)
+                simulation.after(5.0, gone)
+    elif act < 0.26:
+        simulation.calm()
+
+
+SHAPES = [(32.0, "slow"), (40.0, "slow"), (8.0, "mixed"), (4.0, "quick"), (4.0, "quick")]
+
+
+@pytest.mark.parametrize("seed", range(1, 7))
+def test_random_days_of_one_team_keep_every_rule(seed):
+    simulation, rng, number = simulate(seed), random.Random(3000 + seed), 0
+    simulation.run_until(simulation.leader)
+    for _ in range(200):
+        simulation.run(1.0)
+        simulation.leader()
+        simulation.check_owners()
+        simulation.check_cancelled()
+        simulation.check_sums()
+        trouble(simulation, rng)
+        if not simulation.nodes:
+            continue
+        if rng.random() < 0.3:
+            number += 1
+            cpus, job_class = rng.choice(SHAPES)
+            simulation.submit(
+                job(
+                    number,
+                    team="solo",
+                    slot=job_class,
+                    tasks=rng.randint(1, 6),
+                    cpus=cpus,
+                    run_s=rng.uniform(4.0, 30.0),
+                    urgency="high" if job_class == "quick" else "normal",
+                    proof_s=0.0 if job_class == "quick" else 5.0,
+                    flush_s=0.0 if job_class == "quick" else 2.0,
+                    edition_s=90.0,
+                )
+            )
+        if number and rng.random() < 0.05:
+            simulation.cancel(f"req-{rng.randint(1, number):06d}")
+    simulation.finish(400.0)
