--- a/src/copperpass/core/dispatch.py
+++ b/src/copperpass/core/dispatch.py
@@ -136,6 +136,8 @@
         self.types, self.keep_s = types, keep_s
         self.seen: dict[frozenset[str], tuple[float, wire.Spec]] = {}
         self.cache: dict[tuple[float, float, float], set[str]] = {}
+        # The smallest of the tasks that are about now and that a type is kept for, by type.
+        self.smallest: dict[str, wire.Spec] = {}
 
     def note(self, now: float, jobs: Iterable[Job]) -> None:
         """Take in the jobs that are about."""
@@ -144,14 +146,22 @@
         for job in jobs:
             spec = job.spec
             shapes.setdefault((spec.cpus, spec.gpus, spec.memory_gb), spec)
+        self.smallest = {}
         for spec in shapes.values():
             fitting = self.fitting(spec)
             if 0 < len(fitting) < len(self.types):
                 self.seen[fitting] = (now, spec)
+                self._note_smallest(fitting, spec)
         self.seen = {k: v for k, v in self.seen.items() if now - v[0] <= self.keep_s}
         if set(self.seen) != before:
             self.cache.clear()
 
+    def _note_smallest(self, types: Iterable[str], spec: wire.Spec) -> None:
+        for name in types:
+            smallest = self.smallest.get(name)
+            if smallest is None or spec.cpus < smallest.cpus:
+                self.smallest[name] = spec
+
     def fitting(self, spec: wire.Spec) -> frozenset[str]:
         """The types that one task fits."""
         return frozenset(t.name for t in self.types.values() if type_fits(spec, t))
--- a/src/copperpass/core/scheduling/dispatch_round.py
+++ b/src/copperpass/core/scheduling/dispatch_round.py
@@ -267,7 +267,9 @@
         patient = self.state.dear_excess and spec.spot and can_wait
         shape = None
         if not (spec.types or spec.zone or spec.one_zone or spec.spread or spec.id in self.held):
-            shape = (spec.cpus, spec.gpus, spec.memory_gb, spec.spot, patient, left_out)
+            # What large tasks leave is open to short work only.
+            length_s = spec.estimate_s if self.reservations.scarce.smallest else 0.0
+            shape = (spec.cpus, spec.gpus, spec.memory_gb, spec.spot, patient, left_out, length_s)
         if shape in self.full:
             return None
         ranking = self.rankings.get(spec.id)
--- a/src/copperpass/core/scheduling/ranking.py
+++ b/src/copperpass/core/scheduling/ranking.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Iterable, Set
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping, Set
+from dataclasses import dataclass, field
 
-from copperpass.core.dispatch import price_of
+from copperpass import wire
+from copperpass.core.dispatch import price_of, remaining
 from copperpass.core.fleet import Machine, allows, zone_allows
 from copperpass.core.jobs import Job
 
+# Tasks are taken to run for so many times their estimate when they use what others leave.
+BACKFILL_MARGIN = 1.0
+
 
 @dataclass(frozen=True, slots=True)
 class PlacementPolicy:
@@ -17,6 +21,8 @@
 
     # Types that are reserved for larger tasks.
     closed_types: Set[str] = frozenset()
+    # The smallest of the tasks that each of these types is reserved for.
+    reserved_for: Mapping[str, wire.Spec] = field(default_factory=dict)
     # Only spot machines: the job can wait for one.
     spot_only: bool = False
     # Time is short: an image that is there already counts for more than a low price.
@@ -64,7 +70,9 @@
         spec, kind, policy = self.job.spec, machine.type, self.policy
         if not machine.has_room(spec) or not allows(spec, kind, machine.zone, machine.spot):
             return None
-        if (policy.spot_only and not machine.spot) or kind.name in policy.closed_types:
+        if policy.spot_only and not machine.spot:
+            return None
+        if kind.name in policy.closed_types and not self._backfills(machine):
             return None
         if (
             machine.held_from(spec.id, self.now)
@@ -89,6 +97,23 @@
             kind.memory_gb - machine.used_memory,
         )
 
+    def _backfills(self, machine: Machine) -> bool:
+        """Whether a task may use what the large tasks on a machine of a reserved type leave.
+
+        Only room in which none of them finds a place, and for no longer than they themselves run.
+        """
+        large = self.policy.reserved_for.get(machine.type.name)
+        if large is None or machine.has_room(large):
+            return False
+        ends = [
+            remaining(placement, self.now)
+            for placement in machine.tasks.values()
+            if placement.active and placement.cpus >= large.cpus
+        ]
+        spec = self.job.spec
+        needed_s = BACKFILL_MARGIN * spec.estimate_s + machine.fetch_s(spec)
+        return bool(ends) and needed_s <= min(ends)
+
     def best(self, log: list[Machine]) -> Machine | None:
         """The best machine now; `log` names where the round has started tasks, in order."""
         for machine in log[self.since :]:
--- a/src/copperpass/core/scheduling/reservations.py
+++ b/src/copperpass/core/scheduling/reservations.py
@@ -37,6 +37,7 @@
         """Where the job's tasks may be started in this round, whether a gang's or single ones."""
         return PlacementPolicy(
             closed_types=frozenset() if left_out else self.scarce.closed_to(job.spec),
+            reserved_for=self.scarce.smallest,
             spot_only=spot_only,
             urgent=urgent,
             reserved=frozenset() if job.spec.gang else self.kept,
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -7,7 +7,7 @@
 
 from copperpass import wire
 from copperpass.core.dispatch import Aims, Scarce, share_late, task_order
-from copperpass.core.fleet import Machine
+from copperpass.core.fleet import Machine, Placement
 from copperpass.core.jobs import make_job
 from copperpass.core.scheduling.ranking import PlacementPolicy, Ranking
 from copperpass.settings import Objective
@@ -129,3 +129,50 @@
                 chosen.images[each.spec.image] = each.spec.image_gb
                 each.placed[index] = chosen.name
                 log.append(chosen)
+
+
+def crowded_crate(large_cpus, remaining_s):
+    """A machine of the large type with one large task on it."""
+    kind = wire.decode(
+        json.dumps({"racks": [{**TYPE, "name": "crate", "cpus": 64.0}]}).encode(), wire.MachineTypes
+    ).types[0]
+    machine = Machine("m-1", kind, "a", True)
+    large = Placement(
+        "req-000009", 0, 1, "m-1", "red", "slow", 0, large_cpus, 0.0, 8.0, "img-1", remaining_s
+    )
+    machine.tasks[large.key] = large
+    machine.recount()
+    return machine
+
+
+@pytest.mark.parametrize(
+    ("large_cpus", "estimate_s", "found"),
+    [
+        # 24 CPUs are left where 32 are needed for another large task.
+        (40.0, 30.0, True),
+        # It would run on when the large task has ended.
+        (40.0, 90.0, False),
+        # Another large task has room: that is what the type is kept for.
+        (32.0, 30.0, False),
+    ],
+)
+def test_short_tasks_use_what_the_large_ones_leave_on_a_reserved_type(
+    large_cpus, estimate_s, found
+):
+    # Tasks of 32 CPUs, give or take a third, left 24 and more idle on each machine of 64 while
+    # small ones waited beside it.
+    machine = crowded_crate(large_cpus, remaining_s=60.0)
+    large, small = made(1, 0.0, cpus=32.0), made(2, 0.0, cpus=4.0, run_s=estimate_s)
+    policy = PlacementPolicy(closed_types={"crate"}, reserved_for={"crate": large.spec})
+    ranking = Ranking(small, [machine], {"m-1": machine}, 0.0, policy)
+    assert (ranking.best([]) is machine) == found
+
+
+def test_the_smallest_task_that_a_type_is_reserved_for_is_known():
+    offer = [TYPE, {**TYPE, "name": "crate", "cpus": 64.0}]
+    types = wire.decode(json.dumps({"racks": offer}).encode(), wire.MachineTypes).types
+    scarce = Scarce({kind.name: kind for kind in types}, 300.0)
+    scarce.note(0.0, [made(1, 0.0, cpus=40.0), made(2, 0.0, cpus=24.0), made(3, 0.0, cpus=4.0)])
+    assert {name: spec.cpus for name, spec in scarce.smallest.items()} == {"crate": 24.0}
+    scarce.note(1.0, [made(3, 0.0, cpus=4.0)])
+    assert scarce.smallest == {}
