--- a/src/copperpass/core/scheduling/freed_room.py
+++ b/src/copperpass/core/scheduling/freed_room.py
@@ -8,12 +8,27 @@
 from copperpass.core.jobs import EPS, Job, fits
 
 
-def lost_work(placement: Placement, checkpoint_s: float, now: float) -> float:
-    """The work that stopping a task throws away."""
+def unsaved_work(placement: Placement, spec: wire.Spec | None, now: float) -> float:
+    """The work since a task's last checkpoint, about: all of it where it never saves."""
     if not placement.running_at:
         return 0.0
     ran = now - placement.running_at
-    return min(ran, 1.0) if checkpoint_s > 0 else ran
+    return ran % spec.checkpoint_s if spec is not None and spec.checkpoint_s > 0 else ran
+
+
+def stop_cost(placement: Placement, spec: wire.Spec | None, now: float) -> float:
+    """The seconds of work that stopping a task costs: lost, or spent on saving if that is less."""
+    lost = unsaved_work(placement, spec, now)
+    return min(lost, spec.save_s) if spec is not None and spec.checkpoint_s > 0 else lost
+
+
+def worth_saving(placement: Placement, spec: wire.Spec, slack_s: float, now: float) -> bool:
+    """Whether a task that is stopped to make room should save first.
+
+    Not where saving takes longer than the work since its last checkpoint did, nor where the room
+    would come too late for the task that it is for.
+    """
+    return spec.save_s < min(unsaved_work(placement, spec, now), slack_s)
 
 
 def machine_to_hold(
@@ -90,7 +105,7 @@
     """What stopping a task costs: to stop one task of a gang is to stop all."""
     job = jobs.get(placement.job_id)
     gang = job is not None and job.spec.gang
-    return gang, lost_work(placement, job.spec.checkpoint_s if job else 0.0, now)
+    return gang, stop_cost(placement, job.spec if job else None, now)
 
 
 def _stoppable(
--- a/src/copperpass/core/scheduling/preemption.py
+++ b/src/copperpass/core/scheduling/preemption.py
@@ -10,7 +10,7 @@
 from copperpass.core.jobs import Job, fits
 from copperpass.core.scheduling.commands import Commands
 from copperpass.core.scheduling.context import SchedulerContext
-from copperpass.core.scheduling.freed_room import lost_work, victims
+from copperpass.core.scheduling.freed_room import stop_cost, victims, worth_saving
 from copperpass.core.scheduling.state import PoolState
 from copperpass.core.scheduling.tasks import TaskLifecycle
 
@@ -18,6 +18,8 @@
 MOST_AT_ONCE = 8
 # A machine whose tasks are stopped is held for the job for as many reports.
 HELD_REPORTS = 2
+# Why tasks are stopped here.
+PREEMPTED = "preempted"
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,7 +83,7 @@
             for placement in machine.tasks.values()
             if placement.active
             and placement.stop is not None
-            and placement.stopping_for == "preempted"
+            and placement.stopping_for == PREEMPTED
         )
 
     def _make_room(
@@ -97,10 +99,7 @@
         found = self._candidates(now, claimant, usable, over)
         for _, _, machine, chosen in heapq.nsmallest(budget, found):
             for placement in chosen:
-                self.tasks.stop(now, placement, "preempted")
-                victim = self.jobs.jobs.get(placement.job_id)
-                if victim is not None:
-                    victim.preempted.add(placement.index)
+                self._stop(now, claimant, placement)
                 stopped += 1
             machine.held_ready = 0.0
             machine.held_for = claimant.job.spec.id
@@ -108,6 +107,16 @@
             self.commands.send(now, machine)
         return stopped
 
+    def _stop(self, now: float, claimant: Claimant, placement: Placement) -> None:
+        """Stop one task for a claimant; it saves only where that is worth its while."""
+        victim = self.jobs.jobs.get(placement.job_id)
+        if victim is None:
+            self.tasks.stop(now, placement, PREEMPTED)
+            return
+        victim.preempted.add(placement.index)
+        save = victim.spec.gang or worth_saving(placement, victim.spec, claimant.slack_s, now)
+        self.tasks.stop(now, placement, PREEMPTED, save)
+
     def _candidates(
         self, now: float, claimant: Claimant, usable: list[Machine], over: set[str]
     ) -> list[tuple[float, str, Machine, list[Placement]]]:
@@ -126,6 +135,11 @@
                 continue
             chosen = victims(job, machine, jobs, over, under, now)
             if chosen:
-                cost = sum(lost_work(p, 0.0, now) * p.cpus for p in chosen)
+                cost = sum(self._cost(placement, now) for placement in chosen)
                 found.append((cost, machine.name, machine, chosen))
         return found
+
+    def _cost(self, placement: Placement, now: float) -> float:
+        """The CPU seconds that stopping a task costs."""
+        victim = self.jobs.jobs.get(placement.job_id)
+        return stop_cost(placement, victim.spec if victim else None, now) * placement.cpus
--- a/src/copperpass/core/scheduling/tasks.py
+++ b/src/copperpass/core/scheduling/tasks.py
@@ -98,12 +98,16 @@
         if machine.vacating:
             self.state.give_back_if_empty(machine)
 
-    def stop(self, now: float, placement: Placement, why: str) -> None:
-        """Stop a task in order; of a gang that has begun all tasks, so that they save together."""
+    def stop(self, now: float, placement: Placement, why: str, save: bool = True) -> None:
+        """Stop a task in order; of a gang that has begun all tasks, so that they save together.
+
+        Unless `save`, it is ended at once, and only what its last checkpoint has is kept.
+        """
         job = self.jobs.jobs.get(placement.job_id)
         if job is None or not job.spec.gang or not job.begun or job.ending:
             # A gang that hasn't begun waits for a replacement under the same attempt.
-            placement.stop, placement.stopping_for = self._save_s(placement), why
+            grace = self._save_s(placement) if save else 0.0
+            placement.stop, placement.stopping_for = grace, why
             placement.stop_sent = 0.0
         else:
             self.end_gang(now, job, why, self._save_s(placement))
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -2,7 +2,11 @@
 
 import json
 
+import msgspec
+import pytest
+
 from copperpass import wire
+from copperpass.core.scheduling.freed_room import stop_cost, worth_saving
 from tests.simulation import job
 from tests.test_pool_scheduler import Bench
 
@@ -12,9 +16,9 @@
 class Crowded(Bench):
     """A pool whose one machine is full of patient tasks of 4 CPUs."""
 
-    def __init__(self):
+    def __init__(self, **more):
         super().__init__()
-        self.submit(1, tasks=4, run_s=100.0, **PATIENT)
+        self.submit(1, **{"tasks": 4, "run_s": 100.0, **PATIENT, **more})
         self.owner.round(self.now)
         self.take("worker")
         self.run_all()
@@ -76,3 +80,45 @@
     bench = Crowded()
     bench.submit(2, tasks=1, master="img-far", size_gb=500.0, **URGENT)
     assert bench.round() == []
+
+
+SAVES = {"proof_s": 10.0, "flush_s": 6.0}
+
+
+@pytest.mark.parametrize(
+    ("ran_s", "slack_s", "saves"),
+    [
+        # 2 s of work since the last checkpoint: saving them takes 6 s.
+        (12.0, 30.0, False),
+        (18.0, 30.0, True),
+        # The room is needed sooner than the task has saved.
+        (18.0, 4.0, False),
+    ],
+)
+def test_a_stopped_task_saves_only_what_is_worth_its_time(ran_s, slack_s, saves):
+    bench = Crowded(**SAVES)
+    placement = next(iter(bench.owner.machines["m-1"].tasks.values()))
+    spec = bench.jobs.jobs[placement.job_id].spec
+    placement.running_at = 100.0
+    assert worth_saving(placement, spec, slack_s, 100.0 + ran_s) == saves
+
+
+def test_room_for_a_wait_of_seconds_does_not_come_after_a_save():
+    # Each start of a class with an aim of 5 s waited for a save of 6 s.
+    bench = Crowded(**SAVES)
+    bench.submit(2, tasks=1, **URGENT)
+    bench.round()
+    (stopped,) = [t for t in bench.owner.machines["m-1"].tasks.values() if t.stop is not None]
+    assert stopped.stop == 0.0
+
+
+def test_what_a_stop_costs_counts_from_the_last_checkpoint():
+    # Machines were compared without regard to checkpoints: tasks that save lost to ones that don't.
+    bench = Crowded(tasks=1, **SAVES)
+    placement = next(iter(bench.owner.machines["m-1"].tasks.values()))
+    spec = bench.jobs.jobs[placement.job_id].spec
+    placement.running_at = 100.0
+    costs = [stop_cost(placement, spec, 100.0 + ran_s) for ran_s in (4.0, 9.0, 41.0)]
+    assert costs == [4.0, 6.0, 1.0]
+    never = msgspec.structs.replace(spec, checkpoint_s=0.0)
+    assert stop_cost(placement, never, 141.0) == 41.0
