No fixed limit below 4,000 machines: relay, requests, rental plans, cancellations, pools

Found by reading and by a site file of our own (4,074 simulated machines, three controllers of one core): the relay forgot the oldest of 4,000 workers; an owner asked for machines for 500 jobs at most; a plan rented 50 machines whatever the cloud allows (a minute for the fleet); 2,000 cancellations and removals were remembered whatever the state service takes; more than 255 teams broke frames when partitioned. Work: a waiting job no longer looks at full machines, and what is unseen after a change of owner is gone over once a round.

--- a/src/copperpass/core/directory.py
+++ b/src/copperpass/core/directory.py
@@ -9,7 +9,9 @@
 from dataclasses import dataclass
 from typing import Generic, Protocol, TypeVar
 
+# A pool's number has one byte in frames; the highest stands for none.
 UNPOOLED = 255
+MOST_POOLS = UNPOOLED
 # Who a machine may hold tasks for that its commander has not seen: nobody, anybody, its own pool.
 EMPTY, ANYBODY, OWN_POOL = range(3)
 
--- a/src/copperpass/core/grant_client.py
+++ b/src/copperpass/core/grant_client.py
@@ -130,7 +130,7 @@
             for number, owner in self.schedulers.items():
                 owner.needs_machines = False
                 if owner.ready:
-                    wants = tuple(owner.wants(now)[:500])
+                    wants = tuple(owner.wants(now)[: peer.MOST_REQUESTS])
                     self._tell_ties(number, owner, wants)
                     self._send(
                         now, peer.MachineRequests(self.epoch, number, self.inbox.applied, wants)
--- a/src/copperpass/core/jobs.py
+++ b/src/copperpass/core/jobs.py
@@ -12,7 +12,7 @@
 
 LIVE, OVER, COMPLETIONS = "c/live/", "d/job/", "c/ends/"
 EPS = 1e-6
-KNOWN_OFF = 2000
+LEAST_KNOWN_CANCELLED = 2000
 
 
 def fits(amount: float, room: float) -> bool:
@@ -222,11 +222,13 @@
     pages: dict[str, dict[str, str]] = field(default_factory=dict)
     # Jobs that are cancelled for certain although the view may not show it, or not even the job.
     off: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    # How many of these are remembered: all that can be stored before the view must show the first.
+    most_cancelled: int = LEAST_KNOWN_CANCELLED
 
     def mark_cancelled(self, job_id: str) -> Job | None:
         """A job is cancelled for good; returns it if it is known."""
         self.off[job_id] = None
-        while len(self.off) > KNOWN_OFF:
+        while len(self.off) > self.most_cancelled:
             self.off.popitem(last=False)
         job = self.jobs.get(job_id)
         if job is not None:
--- a/src/copperpass/core/manager/placement_plan.py
+++ b/src/copperpass/core/manager/placement_plan.py
@@ -94,6 +94,9 @@
             return
         offer = self._offer(pool, serving)
         for request in pool.wants:
+            if plan is not None and plan.full and not offer.spare:
+                # Neither rented nor moved in this plan: the next one goes on.
+                break
             search = self._begin(now, offer, request)
             self._move_spare(now, offer, search)
             if plan is not None:
--- a/src/copperpass/core/manager/planner.py
+++ b/src/copperpass/core/manager/planner.py
@@ -10,7 +10,7 @@
 from copperpass.core.manager.lending import Lending
 from copperpass.core.manager.placement_plan import PlacementPlanner
 from copperpass.core.manager.records import MachineRecords
-from copperpass.core.manager.rental_plan import MOST_PER_PLAN, RentalPlan
+from copperpass.core.manager.rental_plan import MACHINES_PER_CALL, RentalPlan, most_per_plan
 from copperpass.core.manager.rentals import Rentals
 from copperpass.core.manager.state import (
     MachineRequest,
@@ -44,12 +44,15 @@
         self.placement = PlacementPlanner(context, state, records, self.tracker, self.lending)
         self.warm_room = WarmRoom(context, state, self.tracker, self.lending)
         self.next_plan = self.next_summary = state.won_at
+        cloud_rps = context.cluster.cloud.rps
+        self.plan_s = max(state.report_s / 4, 2.0 / cloud_rps)
+        self.most_per_plan = most_per_plan(cloud_rps, self.plan_s)
 
     def due(self, now: float) -> bool:
         """Whether it is time for the next plan; needs the cloud's offer."""
         if now < self.next_plan or not self.state.types:
             return False
-        self.next_plan = now + max(self.state.report_s / 4, 2.0 / self.cluster.cloud.rps)
+        self.next_plan = now + self.plan_s
         return True
 
     def asked(self, now: float, frame: peer.MachineRequests) -> None:
@@ -112,14 +115,14 @@
         taken: float,
     ) -> None:
         """Serve the pools in their order, keep warm room, rent what was planned."""
-        plan = RentalPlan.beside(serving)
+        plan = RentalPlan.beside(serving, self.most_per_plan)
         for pool in order:
             self.placement.serve(now, pool, serving, plan)
         self.warm_room.keep(now, warm, serving, taken, plan)
         self.warm_room.balance(now, serving)
         for (place, number), count in plan.counts.items():
             if not any(booking.place == place for booking in self.state.renting.values()):
-                self.rentals.rent(now, place, min(count, MOST_PER_PLAN), number)
+                self.rentals.rent(now, place, min(count, MACHINES_PER_CALL), number)
 
     def _summary(self, warm: float, tight: float, allocated: allocation.Allocation) -> None:
         """Say for the log how the fleet stands."""
--- a/src/copperpass/core/manager/rental_plan.py
+++ b/src/copperpass/core/manager/rental_plan.py
@@ -8,8 +8,15 @@
 from copperpass.core.manager.state import ManagedMachine
 from copperpass.core.rental import Place
 
-# Machines to rent in one plan; the next one sees what has come of them.
-MOST_PER_PLAN = 50
+# The most machines that one call to the cloud may rent, by the protocol.
+MACHINES_PER_CALL = 50
+# The part of the calls that the cloud allows until the next plan which one plan may use to rent.
+CALLS_PART = 0.25
+
+
+def most_per_plan(cloud_rps: float, plan_s: float) -> int:
+    """The machines that one plan may rent: a large fleet on a fast cloud isn't built in fifties."""
+    return MACHINES_PER_CALL * max(1, int(CALLS_PART * cloud_rps * plan_s))
 
 
 class Destination(NamedTuple):
@@ -26,11 +33,13 @@
     counts: dict[Destination, int] = field(default_factory=dict)
     # Machines by zone, with those that serve: new ones are spread.
     zones: dict[str, int] = field(default_factory=dict)
+    # Machines to rent at the most; the next plan sees what has come of them.
+    most: int = MACHINES_PER_CALL
 
     @classmethod
-    def beside(cls, serving: list[ManagedMachine]) -> RentalPlan:
-        """An empty plan beside the machines that serve."""
-        plan = cls()
+    def beside(cls, serving: list[ManagedMachine], most: int) -> RentalPlan:
+        """An empty plan beside the machines that serve, for at most so many new ones."""
+        plan = cls(most=most)
         for machine in serving:
             plan.zones[machine.entry.zone] = plan.zones.get(machine.entry.zone, 0) + 1
         return plan
@@ -38,7 +47,7 @@
     @property
     def full(self) -> bool:
         """Whether the plan takes no more machines."""
-        return sum(self.counts.values()) >= MOST_PER_PLAN
+        return sum(self.counts.values()) >= self.most
 
     def add(self, place: Place, pool: int) -> None:
         """One more machine."""
--- a/src/copperpass/core/node.py
+++ b/src/copperpass/core/node.py
@@ -9,9 +9,10 @@
 from copperpass import peer, wire
 from copperpass.core.authority import GRANT_PER_TTL, LEAD, TOKEN, Authority, times_of
 from copperpass.core.cluster_manager import ClusterManager, ManagerContext
+from copperpass.core.directory import MOST_POOLS
 from copperpass.core.fleet_store import StoredFleet
 from copperpass.core.grant_client import BATCH, GrantClient
-from copperpass.core.jobs import COMPLETIONS, LIVE, JobTable
+from copperpass.core.jobs import COMPLETIONS, LEAST_KNOWN_CANCELLED, LIVE, JobTable
 from copperpass.core.pool_scheduler import PoolScheduler
 from copperpass.core.ports import Call, Outbox, Outcome, Reply
 from copperpass.core.relay import Relay
@@ -35,7 +36,9 @@
     """
     guaranteed = sum(team.cpus for team in cluster.teams)
     partitioned = guaranteed > tuning.part_cpus_per_core * cluster.resources.cores
-    return {team.name: n if partitioned else 0 for n, team in enumerate(cluster.teams)}
+    if not partitioned:
+        return {team.name: 0 for team in cluster.teams}
+    return {team.name: number % MOST_POOLS for number, team in enumerate(cluster.teams)}
 
 
 class Node:
@@ -64,7 +67,8 @@
         self.user_api = UserApi(cluster, self.out, self.transactions, 1.6, day)
         self.user_api.counts = self.counts_of
         self.user_api.announce_cancelled = self._announce_cancelled
-        self.jobs = JobTable(day=day)
+        cancelled = max(LEAST_KNOWN_CANCELLED, cluster.changes_per_cancellation_span)
+        self.jobs = JobTable(day=day, most_cancelled=cancelled)
         self.fleet = StoredFleet()
         # Of the records of ends.
         self.versions: dict[str, int] = {}
--- a/src/copperpass/core/relay.py
+++ b/src/copperpass/core/relay.py
@@ -14,7 +14,10 @@
 from copperpass import peer, wire
 from copperpass.core.ports import Outbox, Reply
 
-KNOWN_WORKERS = 4000
+# Workers that can't reach their owner have their reports relayed for so many leases.
+STUCK_LEASES = 3
+# A worker that hasn't come for longer than that is forgotten: bounded by the fleet, not by a count.
+FORGOTTEN_LEASES = STUCK_LEASES + 1
 
 
 @dataclass(slots=True)
@@ -39,14 +42,14 @@
         """Whether a machine's report is to be handed on rather than referred."""
         worker = self.workers.get(machine)
         if worker is None or now - worker.at > self.lease_s:
-            worker = self.workers[machine] = RelayedWorker(now)
+            self.workers[machine] = RelayedWorker(now)
             self.workers.move_to_end(machine)
-            while len(self.workers) > KNOWN_WORKERS:
-                self.workers.popitem(last=False)
             return True
         worker.at = now
+        self.workers.move_to_end(machine)
         if worker.referred:
-            worker.referred, worker.stuck_until = False, now + 3 * self.lease_s
+            worker.referred = False
+            worker.stuck_until = now + STUCK_LEASES * self.lease_s
         if now < worker.stuck_until:
             return True
         worker.referred = True
@@ -65,10 +68,19 @@
             self.out.replies.append(Reply(held[1], frame.status, frame.body))
 
     def tick(self, now: float) -> None:
-        """Send on their way those who wait for too long."""
+        """Send on their way those who wait for too long; forget workers that are long gone."""
+        self._forget(now)
         while self.pending:
             number, (until, request) = next(iter(self.pending.items()))
             if now < until:
                 break
             del self.pending[number]
             self.out.replies.append(Reply(request, 503, wire.error("not reached")))
+
+    def _forget(self, now: float) -> None:
+        """Forget the workers that haven't come for longer than anything of them counts."""
+        while self.workers:
+            worker = next(iter(self.workers.values()))
+            if now - worker.at <= FORGOTTEN_LEASES * self.lease_s:
+                break
+            self.workers.popitem(last=False)
--- a/src/copperpass/core/rental.py
+++ b/src/copperpass/core/rental.py
@@ -305,6 +305,11 @@
     return spec if zone is None else msgspec.structs.replace(spec, zone=zone)
 
 
+def without_exhausted(rooms: list[Room], least_cpus: float) -> list[Room]:
+    """The rooms in which the smallest task that waits may still find a place at some time."""
+    return [room for room in rooms if room.most + 1e-6 >= least_cpus]
+
+
 def fill(rooms: list[Room], spec: wire.Spec, count: int, horizon: float, closed: set[str]) -> int:
     """Give room to tasks that may start within the horizon; returns how many are left."""
     for room in rooms:
--- a/src/copperpass/core/scheduling/demand.py
+++ b/src/copperpass/core/scheduling/demand.py
@@ -12,6 +12,8 @@
 
 # The least weight of a team in the allocation.
 LEAST_WEIGHT = 1e-3
+# A machine's type, its zone, and whether it is a spot machine.
+MachineKind = tuple[str, str, bool]
 
 
 class Demand:
@@ -33,12 +35,14 @@
         if not waiting:
             return []
         rooms = rental.rooms_of(self.machines.values(), now, timing.silence_s)
+        unseen = self.unseen()
+        least_cpus = min(job.spec.cpus for job in waiting)
         unmet = []
         self.ties.clear()
         taken = {team: state.tally.of(team)[0] for team in state.by_team}
         for job in dispatch.task_order(waiting, state.aims, now, timing.boot_s / 2):
             # Tasks that may be running where we have not looked yet need no machines.
-            if not self.startable(job, now):
+            if not self.startable(job, now, unseen):
                 continue
             count = self._count_under_limit(job, taken)
             if count is None:
@@ -56,6 +60,8 @@
             left = fill(rooms, spec, count, horizon, closed)
             if left > 0:
                 unmet.append((spec.id, left, horizon))
+                # Without it each job that waits would look at each full machine.
+                rooms = rental.without_exhausted(rooms, least_cpus)
         return unmet
 
     def _count_under_limit(self, job: Job, taken: dict[str, float]) -> int | None:
@@ -92,8 +98,11 @@
         used = {team.name: state.tally.of(team.name) for team in state.teams}
         return {name: (u[0] + unidentified[0], u[1] + unidentified[1]) for name, u in used.items()}
 
-    def startable(self, job: Job, now: float) -> bool:
-        """Whether tasks of a job may be started, room or not."""
+    def startable(self, job: Job, now: float, unseen: set[MachineKind] | None = None) -> bool:
+        """Whether tasks of a job may be started, room or not.
+
+        Who asks for many jobs at once passes `unseen()`, so that the machines are gone over once.
+        """
         state = self.state
         if now < job.hold_until or job.ending or job.announce_cancelled:
             return False
@@ -105,10 +114,10 @@
         return not any(
             kind not in types
             or (allows(job.spec, types[kind], zone, spot) and type_fits(job.spec, types[kind]))
-            for kind, zone, spot in self._unseen()
+            for kind, zone, spot in (self.unseen() if unseen is None else unseen)
         )
 
-    def _unseen(self) -> set[tuple[str, str, bool]]:
+    def unseen(self) -> set[MachineKind]:
         """The kinds of machines that may hold tasks which we have not seen."""
         unseen = set(self.state.elsewhere.values())
         for name in self.state.unsettled:
--- a/src/copperpass/core/scheduling/dispatch_round.py
+++ b/src/copperpass/core/scheduling/dispatch_round.py
@@ -143,10 +143,11 @@
         dispatch.judge_guarantees(jobs, {team.name: team.cpus for team in teams})
         self.running = {team.name: 0 for team in teams}
         queues: dict[str, list[Job]] = {team.name: [] for team in teams}
+        unseen = demand.unseen()
         for job in jobs:
             name = job.spec.team
             self.running[name] = self.running.get(name, 0) + len(job.placed)
-            if job.waiting() > 0 and demand.startable(job, now):
+            if job.waiting() > 0 and demand.startable(job, now, unseen):
                 queues.setdefault(name, []).append(job)
         self.backlog = sum(len(queue) for queue in queues.values())
         bonus = self.boot_s / 2
--- a/src/copperpass/core/users.py
+++ b/src/copperpass/core/users.py
@@ -16,7 +16,9 @@
 from copperpass.settings import Cluster, Team
 
 RETRY_AFTER = 1
-KNOWN_FINALS = 2000
+# Ended jobs that are remembered: at least so many, and all that can have ended while a question
+# about one of them was under way.
+LEAST_KNOWN_FINALS = 2000
 Found = Callable[[float, "wire.JobRecord | None", int], None]
 
 
@@ -100,6 +102,7 @@
         self.day = day
         self.cluster, self.out, self.transactions = cluster, out, transactions
         self.read_timeout = read_timeout
+        self.most_finals = max(LEAST_KNOWN_FINALS, cluster.changes_per_cancellation_span)
         self.types: dict[str, wire.MachineType] = {}
         self.finals: OrderedDict[str, wire.JobRecord] = OrderedDict()
         # Jobs whose live records have gone, which never come back.
@@ -257,13 +260,13 @@
     def note_removed(self, job_id: str) -> None:
         """The view has seen a live record go: an older answer about it is not to be told."""
         self.removed[job_id] = None
-        while len(self.removed) > KNOWN_FINALS:
+        while len(self.removed) > self.most_finals:
             self.removed.popitem(last=False)
 
     def note_final(self, job_id: str, record: wire.JobRecord) -> None:
         """Final records never change, so a stored one may be kept and told again."""
         self.finals[job_id] = record
-        while len(self.finals) > KNOWN_FINALS:
+        while len(self.finals) > self.most_finals:
             self.finals.popitem(last=False)
 
     def _get(self, key: str, then: Callable[[float, Outcome], None]) -> None:
--- a/src/copperpass/peer.py
+++ b/src/copperpass/peer.py
@@ -29,6 +29,9 @@
 _ANSWERED = struct.Struct("!IH")
 # A report or its answer may have 64 KiB, a batch of table entries some 20 KiB as a rule.
 MAX_PAYLOAD = 1 << 18
+# Requests for machines in one frame, the most urgent first: with names of up to 55 bytes it stays
+# within a payload. The rest is asked for when these have been served.
+MOST_REQUESTS = 1 << 12
 
 
 class BadFrame(Exception):
--- a/src/copperpass/settings.py
+++ b/src/copperpass/settings.py
@@ -147,6 +147,11 @@
     resources: Resources = msgspec.field(default_factory=Resources)
     clock_error_ms: float = 0.0
 
+    @property
+    def changes_per_cancellation_span(self) -> int:
+        """The most changes that can be stored within the time that a cancellation has."""
+        return int(self.state.write_rps * self.workers.cancel_s) + 1
+
     @property
     def gpus_matter(self) -> bool:
         """Whether any team has GPUs: then they are the second resource, else memory is."""
--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -40,6 +40,10 @@
     state: dict[str, float] = field(default_factory=lambda: {"rps": 200.0, **LIMITS})
     cloud_rps: float = 8.0
     max_connections: int = 1000
+    report_s: float = 1.0
+    # Whether frames between two controllers keep their order, as on one connection; where they
+    # don't, each burst of frames also plays what a broken connection loses.
+    ordered_links: bool = False
 
     def limit(self, name: str) -> float:
         """The most CPUs that a team may use: as the page has it, 0 stands for none."""
@@ -85,3 +89,16 @@
     cloud_rps=6.0,
     max_connections=900,
 )
+
+# Some 4,000 machines, with the limits of the services and of the controllers grown alike.
+LARGE = Deployment(
+    teams=(team("red", 20_000.0, 0.0), team("blue", 20_000.0, 0.0)),
+    objectives=TWO_TEAMS.objectives,
+    offer=(TYPE,),
+    capacity={(zone, spot): 700 for zone in "abc" for spot in (True, False)},
+    state={"rps": 2000.0, "write_rps": 200.0, "value_kb": 4.0, "txn_ops": 12},
+    cloud_rps=36.0,
+    max_connections=10_000,
+    report_s=4.0,
+    ordered_links=True,
+)
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -50,7 +50,7 @@
             "teams": list(deployment.teams),
             "objectives": list(deployment.objectives),
             "workers": {
-                "report_s": 1.0,
+                "report_s": deployment.report_s,
                 "lease_s": lease_s,
                 "cancel_s": cancel_s,
                 "gang_wait_s": gang_wait_s,
@@ -516,7 +516,7 @@
             return
         # A machine that hangs beyond its lease has lost its tasks all the same.
         self.mind_lease()
-        self.simulation.after(0.1, self.watch_lease)
+        self.simulation.after(max(0.1, self.simulation.deployment.report_s / 10), self.watch_lease)
 
     def mind_lease(self):
         if self.simulation.now - self.renewed > self.simulation.lease_s:
@@ -614,7 +614,9 @@
                     self.token = answer["baton"]
                     self.renewed = max(self.renewed, sent)
                     self.execute(answer["orders"])
-                self.simulation.after(self.simulation.rng.uniform(0.75, 1.25), self.report)
+                report_s = self.simulation.deployment.report_s
+                pause = report_s * self.simulation.rng.uniform(0.75, 1.25)
+                self.simulation.after(pause, self.report)
                 return
             hint = json.loads(body).get("editor") if status == 421 else None
             if hint in self.simulation.names and hint != target:
@@ -883,6 +885,8 @@
         self.told_by = {name: {} for name in self.names}
         self.nodes, self.life = {}, dict.fromkeys(self.names, 0)
         self.cuts, self.held, self.deaf = set(), [], set()
+        # When the latest frame between two controllers arrives, if their order is kept.
+        self.arrivals = {}
         # Whom the state service refuses alone, and whose watches and lists get no answer.
         self.refused, self.stuck = set(), set()
         # Machines that reach no controller, while direct commands reach them.
@@ -940,6 +944,15 @@
             return
         self.after(self.rng.uniform(*self.lag), action)
 
+    def carry_frame(self, sender, member, action):
+        """As `carry`, but what is sent later arrives later where links keep their order."""
+        if not self.deployment.ordered_links or frozenset((sender, member)) in self.cuts:
+            self.carry(sender, member, action)
+            return
+        at = max(self.now + self.rng.uniform(*self.lag), self.arrivals.get((sender, member), 0.0))
+        self.arrivals[sender, member] = at
+        self.after(at - self.now, action)
+
     def isolate(self, name):
         """Cut a controller from the state service and the other controllers alone."""
         self.refused.add(name)
@@ -1060,7 +1073,7 @@
         for member, frame in frames:
             # Versions meet as bytes; among equals the way there and back changes nothing.
             sent = codec.pack(frame) if self.mixed else frame
-            self.carry(name, member, lambda m=member, f=sent: self.frame(name, m, f))
+            self.carry_frame(name, member, lambda m=member, f=sent: self.frame(name, m, f))
         calls, out.calls = out.calls, []
         for call in calls:
             self.send(name, life, call)
--- /dev/null
+++ b/tests/test_size.py
@@ -0,0 +1,161 @@
+"""About 4,000 machines: no fixed number stands below that, and no work grows with its square."""
+
+import json
+
+import pytest
+
+from copperpass import peer, wire
+from copperpass.core import rental
+from copperpass.core.directory import (
+    MOST_HANDOVERS,
+    MOST_POOLS,
+    UNPOOLED,
+    Contact,
+    Entry,
+    base_token,
+)
+from copperpass.core.manager.rental_plan import MACHINES_PER_CALL, most_per_plan
+from copperpass.core.node import pools_of
+from copperpass.core.ports import Outbox
+from copperpass.core.relay import Relay
+from copperpass.settings import Team, parse
+from copperpass.tuning import Tuning
+from tests.deployments import LARGE, TYPE
+from tests.simulation import Simulation, job, raw_settings
+from tests.state_service import Service
+from tests.test_fleet_store import fill
+from tests.test_order import made
+
+MACHINES = 4200
+
+
+def test_the_relay_knows_all_workers_of_a_large_fleet_for_as_long_as_they_count():
+    # Beyond a count of 4,000 the oldest were forgotten, though they reported every second.
+    relay = Relay(Outbox(), lease_s=10.0, wait_s=1.0)
+    for number in range(MACHINES):
+        assert relay.should_relay(0.0, f"m-{number}")
+    relay.tick(1.0)
+    assert not relay.should_relay(1.0, "m-0"), "referred, since it is known"
+    assert relay.should_relay(2.0, "m-0"), "it came back: it can't get there"
+    for number in range(1, MACHINES):
+        relay.should_relay(25.0, f"m-{number}")
+    relay.tick(45.0)
+    assert len(relay.workers) == MACHINES - 1
+    relay.tick(70.0)
+    assert not relay.workers
+
+
+def unpacked(frame):
+    (read,) = peer.Unpacker().feed(peer.pack(frame))
+    return read
+
+
+def test_frames_hold_what_a_large_fleet_has():
+    requests = tuple((f"req-{n:018d}", 3, 1.5) for n in range(peer.MOST_REQUESTS))
+    assert len(requests) > 4000
+    frame = peer.MachineRequests(7, 0, 5, requests)
+    assert unpacked(frame) == frame
+    ties = peer.ZoneTies(
+        7, 0, tuple((job_id, "a-long-name-of-a-zone") for job_id, _, _ in requests)
+    )
+    assert unpacked(ties) == ties
+    entries = tuple(
+        Entry(
+            f"m-{n:06d}", "box", "a", True, 1, base_token(9, n), contact=Contact("10.0.0.1:9", 1, n)
+        )
+        for n in range(MACHINES)
+    )
+    assert unpacked(peer.Entries(7, 1, 0, MACHINES, entries)).entries == entries
+    counts = peer.RunningCounts({f"req-{n:06d}": 1 for n in range(10_000)})
+    assert unpacked(counts) == counts
+
+
+def test_tokens_last_for_many_handovers_of_each_machine():
+    assert MOST_HANDOVERS > 200 * MACHINES
+    assert base_token(1 << 20, MOST_HANDOVERS - 1) < 1 << 64
+
+
+def test_more_teams_than_pools_share_them():
+    cluster = parse(raw_settings(deployment=LARGE)).cluster
+    cluster.teams = [Team(f"team-{n}", 10_000.0, 0.0) for n in range(600)]
+    pools = pools_of(cluster, Tuning())
+    assert max(pools.values()) == MOST_POOLS - 1 < UNPOOLED
+    share = peer.Share(MOST_POOLS - 1, "n0", 1, 2)
+    grant = peer.Grant(1, 2, 3, 400, 5, False, 6, (share,) * MOST_POOLS)
+    assert unpacked(grant) == grant
+
+
+def test_all_cancellations_that_can_be_stored_in_time_are_remembered():
+    # 2,000 were: a fleet whose state service takes hundreds of changes a second can store more.
+    cluster = parse(raw_settings(deployment=LARGE, cancel_s=70.0)).cluster
+    assert cluster.changes_per_cancellation_span > 14_000
+    simulation = Simulation(cancel_s=70.0, lease_s=30.0, deployment=LARGE)
+    node = simulation.nodes["n0"]
+    for number in range(10_000):
+        node.jobs.mark_cancelled(f"req-{number:06d}")
+        node.user_api.note_removed(f"req-{number:06d}")
+    assert "req-000000" in node.jobs.off and "req-000000" in node.user_api.removed
+
+
+def test_a_plan_rents_more_where_the_cloud_takes_more_calls():
+    # Fifty in each plan took a minute for 4,000 machines, whatever the cloud allowed.
+    assert most_per_plan(cloud_rps=6.0, plan_s=1 / 3) == MACHINES_PER_CALL
+    assert most_per_plan(cloud_rps=36.0, plan_s=1.0) == 9 * MACHINES_PER_CALL
+
+
+@pytest.mark.parametrize("value_kb", [2.0, 4.0])
+def test_the_records_of_4000_machines_keep_to_the_smallest_limits(value_kb):
+    service = Service(write_rps=60.0, value_kb=value_kb, txn_ops=12)
+    fleet_store = service.fleet_store()
+    fill(service, fleet_store, MACHINES)
+    service.run(fleet_store, 60.0)
+    assert service.truth() == ({}, fleet_store.places, fleet_store.up)
+    assert len(fleet_store.up) == MACHINES and not fleet_store.full()
+    state = service.state
+    assert (state.too_large, state.too_fast) == (0, 0) and state.largest <= 1024 * value_kb
+    # A new leader has them all from the view.
+    pages = len(fleet_store.pages)
+    assert pages * 1024 * value_kb < 4 * 40 * MACHINES
+
+
+def made_type():
+    return wire.decode(json.dumps({"racks": [TYPE]}).encode(), wire.MachineTypes).types[0]
+
+
+@pytest.mark.parametrize("machines", [400, 4000])
+def test_a_job_that_finds_no_room_does_not_look_at_full_machines(machines):
+    # Each waiting job looked at each machine: thousands by thousands, several times a second.
+    kind = made_type()
+    looks = []
+
+    class Counted(rental.Room):
+        def take(self, spec, count, horizon):
+            looks.append(spec.id)
+            return super().take(spec, count, horizon)
+
+    rooms = [Counted(kind, "a", True, 1.0, 0.0, 8.0, []) for _ in range(machines)]
+    waiting = [made(n, 0.0, cpus=4.0) for n in range(1, 101)]
+    for each in waiting:
+        assert rental.fill(rooms, each.spec, 2, 0.0, set()) == 2
+        rooms = rental.without_exhausted(rooms, least_cpus=4.0)
+    assert looks == ["req-000001"] * machines, "only the first job looks at all of them"
+
+
+def test_a_day_of_4000_machines_starts_loses_its_leader_and_serves_its_jobs():
+    simulation = Simulation(seed=5, lease_s=30.0, cancel_s=70.0, deployment=LARGE)
+    simulation.run_until(simulation.leader)
+    numbers = range(1, 81)
+    for number in numbers:
+        team = "red" if number % 2 else "blue"
+        simulation.submit(job(number, team=team, tasks=100, cpus=8.0, run_s=20.0))
+        simulation.run(0.05)
+    simulation.run_until(lambda: len(simulation.cloud.workers()) > 3900, 90.0)
+    simulation.crash(simulation.leader(), 0.5)
+    simulation.run_until(simulation.leader, 30.0)
+    for number in range(81, 91):
+        simulation.submit(job(number, team="red", tasks=100, cpus=8.0, run_s=10.0))
+    simulation.run(1.0)
+    simulation.cancel("req-000081")
+    simulation.finish(240.0)
+    simulation.check_served()
+    assert len(simulation.told) == 90 and not simulation.broken
