--- a/src/copperpass/core/manager/placement_plan.py
+++ b/src/copperpass/core/manager/placement_plan.py
@@ -94,9 +94,10 @@
             return
         offer = self._offer(pool, serving)
         for request in pool.wants:
-            if plan is not None and plan.full and not offer.spare:
-                # Neither rented nor moved in this plan: the next one goes on.
-                break
+            over = plan is not None and plan.full and not offer.spare
+            if over and not request.job.guaranteed:
+                # Nothing can be rented or moved in this plan any more: the next one goes on.
+                continue
             search = self._begin(now, offer, request)
             self._move_spare(now, offer, search)
             if plan is not None:
--- a/src/copperpass/core/manager/rental_plan.py
+++ b/src/copperpass/core/manager/rental_plan.py
@@ -11,7 +11,7 @@
 # The most machines that one call to the cloud may rent, by the protocol.
 MACHINES_PER_CALL = 50
 # The part of the calls that the cloud allows until the next plan which one plan may use to rent.
-CALLS_PART = 0.25
+CALLS_PART = 0.1
 
 
 def most_per_plan(cloud_rps: float, plan_s: float) -> int:
