--- a/src/copperpass/__init__.py
+++ b/src/copperpass/__init__.py
@@ -1,3 +1,3 @@
 """copperpass: a cluster scheduler whose controllers keep every rule whatever fails."""
 
-__version__ = "0.4.0"
+__version__ = "0.5.0"
--- a/src/copperpass/core/directory.py
+++ b/src/copperpass/core/directory.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Generic, Protocol, TypeVar
+from typing import Generic, NamedTuple, Protocol, TypeVar
 
 # A pool's number has one byte in frames; the highest stands for none.
 UNPOOLED = 255
@@ -75,6 +75,15 @@
     contact: Contact | None = None
 
 
+class WaitingTasks(NamedTuple):
+    """Tasks of a job that an owner's machines have no room for in time."""
+
+    job: str
+    tasks: int
+    # Seconds until they should start.
+    horizon: float
+
+
 class Named(Protocol):
     """Whatever is told apart by a machine's name."""
 
--- a/src/copperpass/core/fleet.py
+++ b/src/copperpass/core/fleet.py
@@ -9,6 +9,7 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from copperpass import wire
 from copperpass.core.directory import Status
@@ -22,6 +23,25 @@
 NO_PRIORITY = 99
 
 
+class StopReason(StrEnum):
+    """Why a task is told to stop; the values go into the log."""
+
+    JOB_OVER = "job over"
+    CANCELLED = "called off"
+    PREEMPTED = "preempted"
+    RECLAIMED = "reclaimed"
+    NOTICE = "notice"
+    DUPLICATE = "duplicate"
+    FOREIGN = "foreign"
+    SICK_MACHINE = "sick machine"
+    # Of gangs: the attempt has ended, a task of it is gone, two attempts or no room for the rest.
+    ATTEMPT_OVER = "attempt over"
+    TASK_LOST = "task lost"
+    TASK_EXITED = "task exited"
+    TWO_ATTEMPTS = "two attempts"
+    NO_ROOM = "no room for the rest"
+
+
 @dataclass(slots=True)
 class Placement:
     """One attempt of a task on one machine."""
@@ -49,7 +69,7 @@
     start_token: int = 0
     stop: float | None = None
     stop_sent: float = 0.0
-    stopping_for: str = ""
+    stopping_for: StopReason | None = None
     stored: bool = False
     # A task of another pool, which only its owner may judge.
     foreign: bool = False
--- a/src/copperpass/core/grant_client.py
+++ b/src/copperpass/core/grant_client.py
@@ -8,7 +8,7 @@
 from copperpass import peer
 from copperpass.core.authority import DRIFT, GRANT_PER_TTL
 from copperpass.core.cluster_manager import UNKNOWN_REVISION, ClusterManager
-from copperpass.core.directory import Entry, Feed, Inbox, Status, Table
+from copperpass.core.directory import Entry, Feed, Inbox, Status, Table, WaitingTasks
 from copperpass.core.pool_scheduler import PoolScheduler
 from copperpass.core.ports import Outbox
 from copperpass.core.scheduling.context import Images
@@ -151,7 +151,7 @@
         self._share(now, cluster_manager.shares())
 
     def _tell_ties(
-        self, number: int, owner: PoolScheduler, wants: tuple[tuple[str, int, float], ...]
+        self, number: int, owner: PoolScheduler, wants: tuple[WaitingTasks, ...]
     ) -> None:
         """Say in which zones the jobs that want machines must have them."""
         frame = peer.ZoneTies(
--- a/src/copperpass/core/pool_scheduler.py
+++ b/src/copperpass/core/pool_scheduler.py
@@ -8,7 +8,7 @@
 
 from copperpass import wire
 from copperpass.core.completions import CompletionStore
-from copperpass.core.directory import Entry, Status
+from copperpass.core.directory import Entry, Status, WaitingTasks
 from copperpass.core.fleet import Machine, Tally
 from copperpass.core.jobs import Job
 from copperpass.core.scheduling.commands import Commands
@@ -129,7 +129,7 @@
         """What the leader should know of the machines and has not been told."""
         return self.ownership.statuses(now)
 
-    def wants(self, now: float) -> list[tuple[str, int, float]]:
+    def wants(self, now: float) -> list[WaitingTasks]:
         """Tasks that the machines have no room for in time: job, count, seconds left."""
         return self.demand.wants(now)
 
--- a/src/copperpass/core/scheduling/demand.py
+++ b/src/copperpass/core/scheduling/demand.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from copperpass.core import allocation, dispatch, rental
+from copperpass.core.directory import WaitingTasks
 from copperpass.core.fleet import allows, type_fits
 from copperpass.core.jobs import EPS, Job
 from copperpass.core.scheduling.context import SchedulerContext
@@ -28,8 +29,8 @@
         # Jobs in need of machines that may only run in the zone where others of their tasks are.
         self.ties: dict[str, str] = {}
 
-    def wants(self, now: float) -> list[tuple[str, int, float]]:
-        """Tasks that the machines have no room for in time: job, count, seconds left."""
+    def wants(self, now: float) -> list[WaitingTasks]:
+        """Tasks that the machines have no room for in time, the most urgent first."""
         state, timing = self.state, self.state.timing
         waiting = [job for job in state.own_jobs() if job.waiting() > 0]
         if not waiting:
@@ -59,7 +60,7 @@
             closed = self.reservations.scarce.closed_to(spec)
             left = fill(rooms, spec, count, horizon, closed)
             if left > 0:
-                unmet.append((spec.id, left, horizon))
+                unmet.append(WaitingTasks(spec.id, left, horizon))
                 # Without it each job that waits would look at each full machine.
                 rooms = rental.without_exhausted(rooms, least_cpus)
         return unmet
--- a/src/copperpass/core/scheduling/dispatch_round.py
+++ b/src/copperpass/core/scheduling/dispatch_round.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from copperpass.core import allocation, dispatch
 from copperpass.core.fleet import Machine
@@ -33,6 +34,19 @@
 GANGS = "gang"
 
 
+@dataclass(frozen=True, slots=True)
+class HeldQuota:
+    """Room under a team's limit that is held for one gang or large task."""
+
+    # When its job came: what has waited for longer isn't held up.
+    arrived: float
+    cpus: float
+    gpus: float
+
+
+NOTHING_HELD = HeldQuota(0.0, 0.0, 0.0)
+
+
 class Dispatcher:
     """Runs dispatch rounds, and keeps what passes from one to the next."""
 
@@ -123,8 +137,8 @@
         self._fill_queues(dispatcher.demand, jobs)
         self.smallest = min((j.spec.cpus for j in jobs if j.spec.cpus > 0), default=0.0)
         self.roomy = [m for m in usable if fits(self.smallest, m.type.cpus - m.used_cpus)]
-        # What a gang waits for under its team's limit: when it came, CPUs and GPUs.
-        self.quota: dict[str, tuple[float, float, float]] = {}
+        # By team.
+        self.quota: dict[str, HeldQuota] = {}
         # For whom a large gap has been held in this round: teams, or `GANGS`.
         self.holding: set[str] = set()
         # Jobs that room is held for, by stopping tasks or for want of a large gap.
@@ -197,7 +211,7 @@
             if name not in self.quota and self.aims.due(job, now) - now < self.boot_s:
                 # Tasks of the team that come after it would take each gap under the limit.
                 missing = len(job.missing())
-                self.quota[name] = (job.arrived, missing * spec.cpus, missing * spec.gpus)
+                self.quota[name] = HeldQuota(job.arrived, missing * spec.cpus, missing * spec.gpus)
         else:
             self.stuck.append(job)
             if GANGS not in self.holding:
@@ -240,12 +254,12 @@
     def _over_limit(self, name: str, job: Job, left_out: bool) -> bool:
         """Whether one more task would exceed the team's limit, less what a gang waits for."""
         spec, team, used = job.spec, self.state.by_team[name], self.used[name]
-        since, cpus, gpus = self.quota.get(name, (0.0, 0.0, 0.0))
-        if job.arrived <= since or left_out:
+        held = self.quota.get(name, NOTHING_HELD)
+        if job.arrived <= held.arrived or left_out:
             # What has waited for longer isn't held up: neither starves the other.
-            cpus = gpus = 0.0
-        return not fits(used[0] + cpus + spec.cpus, team.cpus_limit) or not fits(
-            used[1] + gpus + spec.gpus, team.gpus_limit
+            held = NOTHING_HELD
+        return not fits(used[0] + held.cpus + spec.cpus, team.cpus_limit) or not fits(
+            used[1] + held.gpus + spec.gpus, team.gpus_limit
         )
 
     def _hold_quota(self, name: str, job: Job, can_wait: bool) -> None:
@@ -254,7 +268,7 @@
         As with gangs: small tasks of its team would take each gap under the limit.
         """
         if name not in self.quota and not can_wait and self._is_large(job):
-            self.quota[name] = (job.arrived, job.spec.cpus, job.spec.gpus)
+            self.quota[name] = HeldQuota(job.arrived, job.spec.cpus, job.spec.gpus)
 
     def _is_large(self, job: Job) -> bool:
         """Whether a job's tasks are large beside the smallest that are about."""
--- a/src/copperpass/core/scheduling/gangs.py
+++ b/src/copperpass/core/scheduling/gangs.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from copperpass import wire
-from copperpass.core.fleet import Machine, Placement
+from copperpass.core.fleet import Machine, Placement, StopReason
 from copperpass.core.jobs import Job, fits
 from copperpass.core.scheduling.gang_planning import gang_hold, plan_gang
 from copperpass.core.scheduling.ranking import Ranking
@@ -22,7 +22,7 @@
         """A task of a gang is reported as active."""
         if job.ending and placement.stop is None:
             # Its machine was taken over only after the attempt had ended and the rest were told.
-            self.tasks.stop(now, placement, "attempt over")
+            self.tasks.stop(now, placement, StopReason.ATTEMPT_OVER)
         if not job.attempt and not job.ending:
             if placement.stop is not None:
                 # The second copy of a task, which must go: nobody may join its attempt.
@@ -31,7 +31,7 @@
             job.attempt = placement.attempt
         if placement.attempt != job.attempt:
             # Of another attempt, which only a leftover can be: neither may be added to.
-            self.tasks.end_gang(now, job, "two attempts", 0.0)
+            self.tasks.end_gang(now, job, StopReason.TWO_ATTEMPTS, 0.0)
         elif placement.state in (wire.TASK_RUNNING, wire.SAVING):
             job.begun = True
 
@@ -48,7 +48,7 @@
             )
             if not waiting:
                 # Whatever the rest does now, it can't complete under this attempt.
-                self.tasks.end_gang(now, job, placement.why, 0.0)
+                self.tasks.end_gang(now, job, StopReason.TASK_EXITED, 0.0, placement.why)
         job.settle_gang()
 
     def reached(self, now: float, job: Job) -> bool:
@@ -123,7 +123,7 @@
             return
         job.short_since = now if job.short_since is None else job.short_since
         if now - job.short_since > self.state.timing.gang_wait_s / 2:
-            self.tasks.end_gang(now, job, "no room for the rest", 0.0)
+            self.tasks.end_gang(now, job, StopReason.NO_ROOM, 0.0)
 
     def hold_room(self, now: float, job: Job, usable: list[Machine]) -> set[str]:
         """Hold the room where a gang can start soonest; returns whom room is held for."""
--- a/src/copperpass/core/scheduling/job_results.py
+++ b/src/copperpass/core/scheduling/job_results.py
@@ -4,6 +4,7 @@
 
 from copperpass import wire
 from copperpass.core.completions import CompletionStore
+from copperpass.core.fleet import StopReason
 from copperpass.core.jobs import LIVE, OVER, Job
 from copperpass.core.scheduling.context import SchedulerContext
 from copperpass.core.scheduling.state import PoolState
@@ -72,12 +73,12 @@
         if not self.context.is_mine(job.spec.team):
             return
         self.completions.over(job)
-        self.tasks.stop_all(now, job, "job over")
+        self.tasks.stop_all(now, job, StopReason.JOB_OVER)
         self.state.where.pop(job.spec.id, None)
         self.state.dirty = True
 
     def mark_cancelled(self, now: float, job: Job) -> None:
         """A job's cancellation is stored, whatever the view shows: its tasks go, none starts."""
         if self.context.is_mine(job.spec.team):
-            self.tasks.stop_all(now, job, "called off")
+            self.tasks.stop_all(now, job, StopReason.CANCELLED)
             self.state.dirty = True
--- a/src/copperpass/core/scheduling/ownership.py
+++ b/src/copperpass/core/scheduling/ownership.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from copperpass.core.directory import ANYBODY, EMPTY, Contact, Entry, Status
-from copperpass.core.fleet import Machine
+from copperpass.core.fleet import Machine, StopReason
 from copperpass.core.scheduling.commands import Commands
 from copperpass.core.scheduling.context import SchedulerContext
 from copperpass.core.scheduling.state import PoolState
@@ -105,7 +105,7 @@
             self.tasks.remove(now, machine, placement)
         for placement in list(machine.tasks.values()):
             if placement.active and placement.stop is None:
-                self.tasks.stop(now, placement, "reclaimed")
+                self.tasks.stop(now, placement, StopReason.RECLAIMED)
         self.commands.send(now, machine)
 
     def _gone(self, now: float, machine: Machine) -> None:
--- a/src/copperpass/core/scheduling/preemption.py
+++ b/src/copperpass/core/scheduling/preemption.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from copperpass import wire
-from copperpass.core.fleet import NO_PRIORITY, Machine, Placement, zone_allows
+from copperpass.core.fleet import NO_PRIORITY, Machine, Placement, StopReason, zone_allows
 from copperpass.core.jobs import Job, fits
 from copperpass.core.scheduling.commands import Commands
 from copperpass.core.scheduling.context import SchedulerContext
@@ -18,8 +18,6 @@
 MOST_AT_ONCE = 8
 # A machine whose tasks are stopped is held for the job for as many reports.
 HELD_REPORTS = 2
-# Why tasks are stopped here.
-PREEMPTED = "preempted"
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,7 +81,7 @@
             for placement in machine.tasks.values()
             if placement.active
             and placement.stop is not None
-            and placement.stopping_for == PREEMPTED
+            and placement.stopping_for == StopReason.PREEMPTED
         )
 
     def _make_room(
@@ -111,11 +109,11 @@
         """Stop one task for a claimant; it saves only where that is worth its while."""
         victim = self.jobs.jobs.get(placement.job_id)
         if victim is None:
-            self.tasks.stop(now, placement, PREEMPTED)
+            self.tasks.stop(now, placement, StopReason.PREEMPTED)
             return
         victim.preempted.add(placement.index)
         save = victim.spec.gang or worth_saving(placement, victim.spec, claimant.slack_s, now)
-        self.tasks.stop(now, placement, PREEMPTED, save)
+        self.tasks.stop(now, placement, StopReason.PREEMPTED, save)
 
     def _candidates(
         self, now: float, claimant: Claimant, usable: list[Machine], over: set[str]
--- a/src/copperpass/core/scheduling/reports.py
+++ b/src/copperpass/core/scheduling/reports.py
@@ -5,7 +5,7 @@
 from copperpass import wire
 from copperpass.core import dispatch
 from copperpass.core.directory import HANDOVER_SHIFT, UNPOOLED, Status
-from copperpass.core.fleet import UNIDENTIFIED, Machine, Placement
+from copperpass.core.fleet import UNIDENTIFIED, Machine, Placement, StopReason
 from copperpass.core.jobs import Job, parse_task
 from copperpass.core.ports import NOT_SENT, Outcome
 from copperpass.core.scheduling.commands import Commands
@@ -168,7 +168,7 @@
                 return
         for placement in foreign:
             if placement.active and placement.stop is None:
-                placement.stop, placement.stopping_for = 0.0, "foreign"
+                placement.stop, placement.stopping_for = 0.0, StopReason.FOREIGN
 
     def _adopt(self, now: float, machine: Machine, key: tuple[str, int, int]) -> Placement:
         """A task of an earlier authority."""
@@ -210,7 +210,7 @@
             return
         if self.state.knows_over(placement):
             if placement.active:
-                placement.stop, placement.stopping_for = 0.0, "job over"
+                placement.stop, placement.stopping_for = 0.0, StopReason.JOB_OVER
             else:
                 placement.stored = True
 
@@ -225,13 +225,13 @@
             machine.touch_image(spec.image, spec.image_gb)
             self.tally.recount(machine)
         if placement.active and job.announce_cancelled:
-            placement.stop, placement.stopping_for = 0.0, "called off"
+            placement.stop, placement.stopping_for = 0.0, StopReason.CANCELLED
         if placement.active and placement.index < job.spec.tasks:
             other = job.placed.get(placement.index)
             if other is None and not job.is_done(placement.index):
                 job.placed[placement.index] = machine.name
             elif other != machine.name:
-                placement.stop, placement.stopping_for = 0.0, "duplicate"
+                placement.stop, placement.stopping_for = 0.0, StopReason.DUPLICATE
 
     def _doubtful(self, now: float, machine: Machine) -> bool:
         """Whether a machine has tasks of which nobody here knows if their job is over.
@@ -265,7 +265,7 @@
                 # It can't be saved in time: to run on may still complete it.
                 continue
             if dispatch.remaining(placement, now) > NOTICE_MARGIN * left:
-                self.tasks.stop(now, placement, "notice")
+                self.tasks.stop(now, placement, StopReason.NOTICE)
 
     def direct_answer(
         self,
--- a/src/copperpass/core/scheduling/task_reports.py
+++ b/src/copperpass/core/scheduling/task_reports.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from copperpass import wire
-from copperpass.core.fleet import UNIDENTIFIED, Machine, Placement
+from copperpass.core.fleet import UNIDENTIFIED, Machine, Placement, StopReason
 from copperpass.core.jobs import Job
 from copperpass.core.scheduling.context import SchedulerContext
 from copperpass.core.scheduling.gangs import GangMonitor
@@ -59,7 +59,7 @@
         if job is not None and job.spec.gang:
             self.gangs.seen(now, job, placement)
         if job is None and placement.stop is None and self.state.knows_over(placement):
-            placement.stop, placement.stopping_for = 0.0, "job over"
+            placement.stop, placement.stopping_for = 0.0, StopReason.JOB_OVER
 
     def _exited(
         self,
@@ -168,7 +168,7 @@
         self.out.log("info", "machine fenced", machine=machine.name, jobs=suspects)
         for placement in machine.tasks.values():
             if placement.active and placement.stop is None and not placement.running_at:
-                placement.stop, placement.stopping_for = 0.0, "sick machine"
+                placement.stop, placement.stopping_for = 0.0, StopReason.SICK_MACHINE
                 placement.stop_sent = 0.0
         for placement in list(machine.starts):
             self.tasks.remove(now, machine, placement)
--- a/src/copperpass/core/scheduling/tasks.py
+++ b/src/copperpass/core/scheduling/tasks.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from copperpass import wire
-from copperpass.core.fleet import Machine, Placement
+from copperpass.core.fleet import Machine, Placement, StopReason
 from copperpass.core.jobs import Job
 from copperpass.core.scheduling.commands import Commands
 from copperpass.core.scheduling.context import SchedulerContext
@@ -84,7 +84,7 @@
             if job.spec.gang:
                 if job.begun and placement.attempt == job.attempt and not job.ended():
                     # The others notice and exit; what they did since the last checkpoint is lost.
-                    self.end_gang(now, job, "task lost", 0.0)
+                    self.end_gang(now, job, StopReason.TASK_LOST, 0.0)
                 job.settle_gang()
         self.state.dirty = True
         self.tally.recount(machine)
@@ -98,7 +98,7 @@
         if machine.vacating:
             self.state.give_back_if_empty(machine)
 
-    def stop(self, now: float, placement: Placement, why: str, save: bool = True) -> None:
+    def stop(self, now: float, placement: Placement, why: StopReason, save: bool = True) -> None:
         """Stop a task in order; of a gang that has begun all tasks, so that they save together.
 
         Unless `save`, it is ended at once, and only what its last checkpoint has is kept.
@@ -112,15 +112,20 @@
         else:
             self.end_gang(now, job, why, self._save_s(placement))
 
-    def end_gang(self, now: float, job: Job, why: str, grace: float) -> None:
+    def end_gang(
+        self, now: float, job: Job, why: StopReason, grace: float, reported: str = ""
+    ) -> None:
         """An attempt is over: all its tasks go, told as close together as can be.
 
-        Another begins only when every one of them is proven gone.
+        Another begins only when every one of them is proven gone. `reported` is what the
+        machine said of the task that ended it.
         """
         if job.ending:
             return
         job.ending = True
-        self.context.out.log("info", "gang stopped", job=job.spec.id, why=why, begun=job.begun)
+        self.context.out.log(
+            "info", "gang stopped", job=job.spec.id, why=reported or why, begun=job.begun
+        )
         for name in list(self.where.get(job.spec.id, ())):
             machine = self.machines.get(name)
             if machine is None:
@@ -135,7 +140,7 @@
             self.commands.send(now, machine)
         job.settle_gang()
 
-    def stop_all(self, now: float, job: Job, why: str) -> None:
+    def stop_all(self, now: float, job: Job, why: StopReason) -> None:
         """Take back a job's starts, and stop all that is or may be there."""
         for name in list(self.where.get(job.spec.id, ())):
             machine = self.machines.get(name)
--- a/src/copperpass/peer.py
+++ b/src/copperpass/peer.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from copperpass.core.directory import Contact, Entry, Status
+from copperpass.core.directory import Contact, Entry, Status, WaitingTasks
 
 MAGIC, VERSION = b"cp", 3
 HEADER = struct.Struct("!2sBBI")
@@ -158,12 +158,12 @@
 
 @dataclass(frozen=True, slots=True)
 class MachineRequests:
-    """Tasks of a pool that its machines have no room for in time: job, count, seconds left."""
+    """Tasks of a pool that its machines have no room for in time."""
 
     epoch: int
     pool: int
     applied: int
-    wants: tuple[tuple[str, int, float], ...]
+    wants: tuple[WaitingTasks, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -389,7 +389,7 @@
         for _ in range(count):
             job = reader.text()
             tasks, left = reader.unpack(_WANT)
-            wants.append((job, tasks, left))
+            wants.append(WaitingTasks(job, tasks, left))
         frame = MachineRequests(epoch, pool, applied, tuple(wants))
     else:
         epoch, incarnation, before, upto, count = reader.unpack(_PART)
