--- a/tests/test_one_team.py
+++ b/tests/test_one_team.py
@@ -103,6 +103,9 @@
                     proof_s=0.0 if job_class == "quick" else 5.0,
                     flush_s=0.0 if job_class == "quick" else 2.0,
                     edition_s=90.0,
+                    borrowed=rng.random() < 0.8,
+                    hall=rng.choice(["a", "c"]) if rng.random() < 0.15 else None,
+                    racks=["crate"] if cpus > 8.0 and rng.random() < 0.2 else None,
                 )
             )
         if number and rng.random() < 0.05:
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -1,6 +1,7 @@
 """About 4,000 machines: no fixed number stands below that, and no work grows with its square."""
 
 import json
+import sys
 
 import pytest
 
@@ -25,6 +26,7 @@
 from tests.state_service import Service
 from tests.test_fleet_store import fill
 from tests.test_order import made
+from tests.test_pool_scheduler import Bench
 
 MACHINES = 4200
 
@@ -141,6 +143,35 @@
     assert looks == ["req-000001"] * machines, "only the first job looks at all of them"
 
 
+def lines_of_a_report(machines):
+    """How many lines run for a report that says nothing new, in a pool of so many machines."""
+    bench = Bench()
+    for number in range(2, machines + 1):
+        name = f"m-{number}"
+        bench.owner.learn(bench.now, Entry(name, "box", "a", True, 0, bench.token, recorded=True))
+        bench.owner.machines[name].settled = True
+    bench.add(1, tasks=2)
+    bench.owner.round(bench.now)
+    for _ in range(3):
+        bench.report([])
+    lines = 0
+
+    def count(frame, event, argument):
+        nonlocal lines
+        lines += event == "line"
+        return count
+
+    before = sys.gettrace()
+    sys.settrace(count)
+    bench.report([])
+    sys.settrace(before)
+    return lines
+
+
+def test_a_report_costs_the_same_in_a_fleet_ten_times_as_large():
+    assert lines_of_a_report(4000) == lines_of_a_report(400)
+
+
 def test_a_day_of_4000_machines_starts_loses_its_leader_and_serves_its_jobs():
     simulation = Simulation(seed=5, lease_s=30.0, cancel_s=70.0, deployment=LARGE)
     simulation.run_until(simulation.leader)
