--- /dev/null
+++ b/tests/standins/cloud.py
@@ -0,0 +1,101 @@
+"""The cloud: bookings, machines that boot, lists that lag."""
+
+from __future__ import annotations
+
+import itertools
+import json
+
+from tests.standins.worker import Worker
+
+
+class Cloud:
+    """Rents machines."""
+
+    def __init__(self, simulation):
+        self.simulation = simulation
+        self.bookings, self.machines, self.names = {}, {}, itertools.count(1)
+        self.offer = list(simulation.deployment.offer)
+        self.capacity = dict(simulation.deployment.capacity)
+        # Between what bounds the time lies that a machine takes to boot.
+        self.boot_s = (6.0, 15.0)
+
+    def handle(self, method, path, body, reply):
+        if path == "/machine_types":
+            reply(200, json.dumps({"racks": self.offer}).encode())
+        elif path == "/rentals" and method == "POST":
+            ask = json.loads(body)
+            if ask["booking"] not in self.bookings:
+                place = (ask["hall"], ask["borrowed"])
+                kind = next(kind for kind in self.offer if kind["name"] == ask["rack"])
+                count = min(ask["count"], self.left(kind, place))
+                if count <= 0:
+                    reply(503, b'{"error":"no capacity"}')
+                    return
+                self.bookings[ask["booking"]] = [self.rent(place, kind) for _ in range(count)]
+            reply(200, json.dumps({"presses": self.bookings[ask["booking"]]}).encode())
+        elif path == "/rentals/release":
+            for name in json.loads(body)["presses"]:
+                self.returned(name)
+                self.take(name)
+            reply(200, b"{}")
+        else:
+            reply(
+                200,
+                json.dumps(
+                    {
+                        "presses": [
+                            {
+                                "id": n,
+                                "address": n,
+                                "rack": m["kind"]["name"],
+                                "hall": m["place"][0],
+                                "borrowed": m["place"][1],
+                                "held_s": self.simulation.now - m["at"],
+                                "status": "running" if m["worker"] else "starting",
+                            }
+                            for n, m in sorted(self.machines.items())
+                            if self.simulation.now - m["at"] > 3.0
+                        ],
+                        "truncated": False,
+                    }
+                ).encode(),
+            )
+
+    def left(self, kind, place):
+        """How many more machines there are of a type in a place."""
+        typed = (kind["name"], *place)
+        if typed in self.capacity:
+            live = [m for m in self.machines.values() if (m["kind"]["name"], *m["place"]) == typed]
+            return self.capacity[typed] - len(live)
+        live = [m for m in self.machines.values() if m["place"] == place]
+        return self.capacity[place] - len(live)
+
+    def rent(self, place, kind):
+        name = f"m-{next(self.names):06d}"
+        now = self.simulation.now
+        self.machines[name] = {"place": place, "kind": kind, "at": now, "worker": None}
+        self.simulation.after(self.simulation.rng.uniform(*self.boot_s), lambda: self.boot(name))
+        return name
+
+    def boot(self, name):
+        machine = self.machines.get(name)
+        if machine:
+            machine["worker"] = Worker(self.simulation, name, *machine["place"], machine["kind"])
+
+    def take(self, name):
+        machine = self.machines.pop(name, None)
+        if machine and machine["worker"]:
+            machine["worker"].alive = False
+            machine["worker"].drop_all()
+
+    def returned(self, name):
+        """The service gives a machine back: a gang that runs there loses progress."""
+        machine = self.machines.get(name)
+        if machine and machine["worker"]:
+            for mark in machine["worker"].tasks.values():
+                if "gang" in mark and mark["state"] in ("running", "flushing"):
+                    mark["gang"].rest()
+                    mark["gang"].lost("machine returned")
+
+    def workers(self):
+        return [m["worker"] for m in self.machines.values() if m["worker"]]
--- /dev/null
+++ b/tests/standins/gang.py
@@ -0,0 +1,232 @@
+"""An attempt of a gang on the workers: what its tasks tell one another."""
+
+from __future__ import annotations
+
+import functools
+
+
+class Gang:
+    """The tasks of one attempt of a gang, and what they know of each other.
+
+    A task is a member from the moment it has its image until it is gone.
+    """
+
+    def __init__(self, simulation, job_id, attempt):
+        self.simulation, self.job_id, self.attempt = simulation, job_id, attempt
+        self.spec = simulation.specs[job_id]
+        self.members = {}  # (worker, key of the task) -> what the worker notes of it
+        self.started = self.broken = self.safe = self.over = self.late = False
+        self.progress, self.since, self.speed, self.turn = 0.0, None, 1.0, 0
+        self.first_stop, self.told = None, set()
+
+    # -- waiting
+
+    def join(self, worker, key, mark):
+        mark.update(state="gathering", at=self.simulation.now)
+        self.members[worker, key] = mark
+        self.simulation.started(worker, key[0], self.spec)
+        others = [
+            g
+            for (j, a), g in self.simulation.gangs.items()
+            if j == self.job_id and a != self.attempt and g.members
+        ]
+        if others:
+            self.simulation.broken.append(f"two_attempts: {key} beside {others[0].attempt}")
+        if key[0] in self.simulation.completed:
+            worker.end(key, "done")
+            return
+        if worker.sick or self.spec.get("broken"):
+            self.simulation.after(0.2, lambda: self.leave(worker, key, mark, "error"))
+        self.simulation.after(
+            self.simulation.gang_wait_s, lambda: self.leave(worker, key, mark, "alone", "gathering")
+        )
+        self.begin()
+
+    def begin(self):
+        """Start together, once every task has its image and executes."""
+        ready = {key[0] for (worker, key), _ in self.members.items() if not worker.hung_for()}
+        if self.started or len(ready) < self.spec["pages"]:
+            return
+        self.started = True
+        for mark in self.members.values():
+            self.simulation.waited += self.simulation.now - mark.pop("at")
+            mark["state"] = "running"
+        self.speed = min(worker.speed for worker, _ in self.members)
+        self.progress = self.simulation.progress.get(self.job_id, 0.0)
+        self.go()
+
+    def leave(self, worker, key, mark, why, only=None, **more):
+        """Exit by itself, once its machine executes it."""
+        if (
+            worker.tasks.get(key) is not mark
+            or mark["state"] == "exited"
+            or (only and mark["state"] != only)
+        ):
+            return
+        if worker.hung_for():
+            self.simulation.after(
+                worker.hung_for() + 0.01, lambda: self.leave(worker, key, mark, why, only, **more)
+            )
+            return
+        if why == "alone":
+            self.simulation.alone.add((self.job_id, self.attempt))
+        worker.end(key, why, **more)
+
+    # -- running
+
+    def length(self):
+        if self.job_id not in self.simulation.lengths:
+            self.simulation.lengths[self.job_id] = (
+                self.simulation.gang_rng.uniform(0.5, 1.5) * self.spec["runtime_s"]
+            )
+        return self.simulation.lengths[self.job_id]
+
+    def go(self):
+        self.since = self.simulation.now
+        self.turn += 1
+        turn, left = self.turn, max(0.0, self.length() - self.progress) / self.speed
+        self.simulation.after(left, lambda: turn == self.turn and self.finish())
+
+    def rest(self):
+        """Progress stops."""
+        if self.since is not None:
+            self.progress += (self.simulation.now - self.since) * self.speed
+        self.since = None
+        self.turn += 1
+
+    def finish(self):
+        self.rest()
+        self.over = True
+        self.simulation.completed.update(f"{self.job_id}/{i}" for i in range(self.spec["pages"]))
+        for worker, key in list(self.members):
+            worker.end(key, "done")
+
+    def checkpoint(self):
+        every, kept = self.spec["proof_s"], self.simulation.progress.get(self.job_id, 0.0)
+        return max(kept, int(self.progress / every + 1e-9) * every) if every > 0 else 0.0
+
+    def gone(self, worker, key, mark):
+        """A member has exited, or its machine is gone."""
+        if self.members.pop((worker, key), None) is None:
+            return  # it never had its image
+        if "at" in mark:
+            self.simulation.waited += self.simulation.now - mark.pop("at")
+        elif self.started and not self.over and not self.safe:
+            self.fail()
+
+    def fail(self, within=None):
+        """A running gang has lost a task: the others notice in time and exit."""
+        if self.broken:
+            return
+        self.fall_back()
+        within = self.simulation.gang_peer_s if within is None else within
+        for (worker, key), mark in self.members.items():
+            wait = self.simulation.gang_rng.uniform(0.3, 1.0) * within
+            self.simulation.after(
+                wait, functools.partial(self.leave, worker, key, mark, "mates_gone")
+            )
+
+    def fall_back(self):
+        self.rest()
+        self.broken = True
+        self.simulation.progress[self.job_id] = self.checkpoint()
+
+    def hangs(self, worker):
+        if not self.started or self.broken or self.safe or self.over:
+            return
+        self.rest()
+        until, within = worker.hung_until, self.simulation.gang_peer_s
+        wait = self.simulation.gang_rng.uniform(0.3, 0.7) * within
+
+        def notice():
+            if (
+                worker.hung_for()
+                and worker.hung_until == until
+                and not self.safe
+                and any(w is worker for w, _ in self.members)
+            ):
+                self.fail(within - wait)
+
+        self.simulation.after(wait, notice)
+
+    def resumes(self):
+        self.begin()
+        if self.started and not self.broken and not self.over:
+            if self.first_stop is not None:
+                self.let_go()
+            elif self.since is None and not any(w.hung_for() for w, _ in self.members):
+                self.go()
+
+    # -- stopping
+
+    def stop(self, worker, key, mark, grace):
+        if mark["state"] == "gathering" or self.broken:
+            worker.end(key, "halted")
+        elif mark["state"] == "flushing":
+            if grace <= 0:
+                self.lost("ended while it saved")
+                worker.end(key, "halted")
+        else:
+            if self.first_stop is None:
+                self.first_stop = self.simulation.now
+                self.rest()
+                self.simulation.after(self.simulation.gang_peer_s, self.deadline)
+            if self.spec["proof_s"] <= 0 or grace < self.spec["flush_s"]:
+                self.lost("too little grace")
+                worker.end(key, "halted")
+                return
+            self.told.add(key[0])
+            mark["state"] = "flushing"
+            self.simulation.after(self.spec["flush_s"], lambda: self.saved(worker, key, mark))
+
+    def saved(self, worker, key, mark):
+        if worker.tasks.get(key) is not mark or mark["state"] != "flushing":
+            return
+        if worker.hung_for():
+            self.simulation.after(worker.hung_for() + 0.01, lambda: self.saved(worker, key, mark))
+            return
+        mark["kept"] = True
+        if self.broken:
+            worker.end(key, "halted")
+        else:
+            self.let_go()
+
+    def deadline(self):
+        """No task waits longer than this for the others to be told."""
+        self.late = True
+        if self.broken or self.safe or self.over:
+            return
+        if len(self.told) == self.spec["pages"]:
+            self.let_go()
+            return
+        self.lost("not all told in time")
+        self.fall_back()
+        for (worker, key), mark in list(self.members.items()):
+            if mark["state"] == "running":
+                self.leave(worker, key, mark, "mates_gone")
+            elif mark.get("kept"):
+                self.leave(worker, key, mark, "halted")
+
+    def let_go(self):
+        """Exit with the progress safe, when all are told and have saved or no time is left."""
+        if len(self.told) < self.spec["pages"]:
+            return
+        ready = [m for m in self.members.items() if m[1].get("kept")]
+        if ready and (self.late or self.safe or len(ready) == len(self.members)):
+            if not self.safe:
+                self.safe = True
+                self.simulation.progress[self.job_id] = self.progress
+            for (worker, key), mark in ready:
+                self.leave(worker, key, mark, "halted", saved=True)
+
+    def lost(self, why):
+        """The service has thrown progress away that it could have kept."""
+        loss = self.progress - self.checkpoint()
+        if (
+            self.started
+            and not (self.broken or self.safe or self.over)
+            and loss > 1e-6
+            and self.spec["proof_s"] > 0
+            and self.job_id not in self.simulation.unwanted
+        ):
+            self.simulation.lost_saves.append((self.job_id, self.attempt, why, round(loss, 3)))
--- /dev/null
+++ b/tests/standins/worker.py
@@ -0,0 +1,255 @@
+"""A machine, its lease and the tasks on it."""
+
+from __future__ import annotations
+
+import json
+import random
+
+from tests.deployments import TYPE
+
+
+class Worker:
+    """A machine and the tasks on it."""
+
+    def __init__(self, simulation, name, zone, spot, kind=TYPE):
+        self.simulation, self.name, self.zone, self.spot = simulation, name, zone, spot
+        self.kind = kind
+        self.session, self.seq, self.token = 1, 0, 0
+        self.tasks = {}
+        self.renewed = simulation.now
+        self.alive = True
+        self.sick = False
+        self.notice = None
+        self.hung_until = 0.0
+        self.speed = 1.0 - 0.1 * random.Random(name).random()
+        self.sent = []
+        self.node = simulation.rng.randrange(len(simulation.names))
+        simulation.after(0.01, self.report)
+        self.watch_lease()
+
+    def watch_lease(self):
+        if not self.alive:
+            return
+        # A machine that hangs beyond its lease has lost its tasks all the same.
+        self.mind_lease()
+        self.simulation.after(max(0.1, self.simulation.deployment.report_s / 10), self.watch_lease)
+
+    def mind_lease(self):
+        if self.simulation.now - self.renewed > self.simulation.lease_s:
+            self.drop_all()
+            self.session += 1
+            self.renewed = self.simulation.now
+
+    @property
+    def hung(self):
+        return self.simulation.now < self.hung_until
+
+    def drop_all(self):
+        """All tasks are gone without an exit."""
+        dropped, self.tasks = self.tasks, {}
+        for key, mark in dropped.items():
+            if "gang" in mark and mark["state"] != "exited":
+                mark["gang"].gone(self, key, mark)
+
+    def hang(self, seconds):
+        """Execute, report and answer nothing for a while."""
+        self.hung_until = max(self.hung_until, self.simulation.now + seconds)
+        for mark in list(self.tasks.values()):
+            mark["late"] = mark.get("late", 0.0) + seconds
+            if "gang" in mark:
+                mark["gang"].hangs(self)
+        self.simulation.after(seconds, self.resume)
+
+    def restart(self, seconds):
+        """The process ends with all tasks; a new one of a later session is back after that time."""
+        self.drop_all()
+        self.session += 1
+        self.seq, self.token = 0, 0
+        self.hang(seconds)
+        self.renewed = self.simulation.now + seconds
+
+    def resume(self):
+        if self.alive and not self.hung_for():
+            self.mind_lease()
+            for mark in list(self.tasks.values()):
+                if "gang" in mark:
+                    mark["gang"].resumes()
+
+    def hung_for(self):
+        left = self.hung_until - self.simulation.now
+        return left if left > 1e-6 else 0.0
+
+    def body(self):
+        self.seq += 1
+        tasks = []
+        for (task, attempt), t in self.tasks.items():
+            entry = {"page": task, "take": attempt, "status": t["state"]}
+            if t["state"] == "exited":
+                entry["cause"] = t["why"]
+                if t.get("saved"):
+                    entry["saved"] = True
+            tasks.append(entry)
+        return json.dumps(
+            {
+                "press": self.name,
+                "address": self.name,
+                "rack": self.kind["name"],
+                "hall": self.zone,
+                "borrowed": self.spot,
+                "shift": self.session,
+                "line": self.seq,
+                "baton": self.token,
+                "recall_s": self.notice,
+                "pages": tasks,
+            }
+        ).encode()
+
+    def report(self):
+        if not self.alive:
+            return
+        if self.hung_for():
+            self.simulation.after(self.hung_for() + 0.01, self.report)
+            return
+        sent, session = self.simulation.now, self.session
+        target = self.simulation.names[self.node]
+        answered = []
+
+        def reply(status, body):
+            if answered or not self.alive:
+                return
+            if self.hung_for():
+                self.simulation.after(self.hung_for() + 0.01, lambda: reply(0, b"{}"))
+                return
+            answered.append(True)
+            if self.simulation.now - sent > 4.0:
+                # The worker drops answers that took longer.
+                status = 0
+            if status == 200:
+                answer = json.loads(body)
+                if answer["baton"] >= self.token and session == self.session:
+                    self.token = answer["baton"]
+                    self.renewed = max(self.renewed, sent)
+                    self.execute(answer["orders"])
+                report_s = self.simulation.deployment.report_s
+                pause = report_s * self.simulation.rng.uniform(0.75, 1.25)
+                self.simulation.after(pause, self.report)
+                return
+            hint = json.loads(body).get("editor") if status == 421 else None
+            if hint in self.simulation.names and hint != target:
+                self.node = self.simulation.names.index(hint)
+                self.simulation.after(0.1, self.report)
+            else:
+                self.node = (self.node + 1) % len(self.simulation.names)
+                self.simulation.after(1.0, self.report)
+
+        body = self.body()
+        self.sent.append((target, body))
+        self.simulation.to_node(self.name, target, body, reply)
+        self.simulation.maybe_copied(target, body)
+        self.simulation.after(4.0, lambda: reply(0, b"{}"))
+
+    def direct(self, raw, reply):
+        if not self.alive:
+            return
+        if self.hung_for():
+            self.simulation.after(self.hung_for() + 0.01, lambda: self.direct(raw, reply))
+            return
+        order = json.loads(raw)
+        if order["baton"] < self.token or order["shift"] != self.session:
+            reply(409, self.body())
+            return
+        self.token = order["baton"]
+        self.execute(order["orders"])
+        reply(200, self.body())
+
+    def execute(self, orders):
+        for order in orders:
+            key = (order["page"], order["take"])
+            if order["verb"] == "run":
+                self.start(key)
+            elif order["verb"] == "kill" and key in self.tasks:
+                mark = self.tasks[key]
+                if "gang" in mark and mark["state"] not in ("pulling", "exited"):
+                    mark["gang"].stop(self, key, mark, order.get("windup_s") or 0.0)
+                elif mark["state"] != "exited":
+                    self.end(key, "halted")
+            elif order["verb"] == "clear" and self.tasks.get(key, {}).get("state") == "exited":
+                del self.tasks[key]
+
+    def start(self, key):
+        if key in self.tasks:
+            return
+        task, _ = key
+        spec = self.simulation.specs.get(task.split("/")[0])
+        why = self.simulation.refusals.pop(task, None)
+        used = sum(t["cpus"] for t in self.tasks.values() if t["state"] != "exited")
+        if why:
+            pass
+        elif spec is None:
+            why = "unknown"
+        elif any(other[0] == task for other in self.tasks):
+            why = "in_use"
+        elif used + spec["cpus"] > self.kind["cpus"] + 1e-6:
+            why = "no_room"
+        if why:
+            self.tasks[key] = {"state": "exited", "why": why, "cpus": 0.0, "saved": False}
+            return
+        self.tasks[key] = {"state": "pulling", "cpus": spec["cpus"]}
+        mark = self.tasks[key]
+        if spec["form"] == "ensemble":
+            mark["gang"] = self.simulation.gang(task.split("/")[0], key[1])
+        fetch_s = self.simulation.fetch_s.get(task, 0.3)
+        self.simulation.after(fetch_s, lambda: self.begin(key, mark, spec))
+
+    def begin(self, key, mark, spec):
+        if not self.alive or self.tasks.get(key) is not mark or mark["state"] != "pulling":
+            return
+        if self.held_up(mark, lambda: self.begin(key, mark, spec)):
+            return
+        if "gang" in mark:
+            mark["gang"].join(self, key, mark)
+            return
+        mark["state"] = "running"
+        self.simulation.started(self, key[0], spec)
+        wait = 0.2 if self.sick else self.simulation.rng.uniform(0.5, 1.5) * spec["runtime_s"]
+        why = "error" if self.sick or spec.get("broken") else "done"
+
+        def over():
+            if self.tasks.get(key) is mark and not self.held_up(mark, over):
+                self.end(key, why)
+
+        self.simulation.after(wait, over)
+
+    def held_up(self, mark, action):
+        """Whether the machine hung meanwhile: then the action is only due that much later."""
+        late = mark.pop("late", 0.0)
+        if late:
+            self.simulation.after(late, action)
+        return bool(late)
+
+    def end(self, key, why, saved=False):
+        mark = self.tasks[key]
+        if self.alive and mark["state"] != "exited":
+            mark.update(state="exited", why=why, saved=saved)
+            if why == "done":
+                self.simulation.completed.add(key[0])
+            if "gang" in mark:
+                mark["gang"].gone(self, key, mark)
+
+    def on_it(self):
+        """The tasks that are on this machine: from the image to the exit."""
+        return [
+            k[0]
+            for k, t in self.tasks.items()
+            if t["state"] in ("gathering", "running", "flushing")
+        ]
+
+    def in_state(self, state):
+        return [k for k, t in self.tasks.items() if t["state"] == state]
+
+
+class WorkerRequest:
+    """A worker's report that waits for its answer."""
+
+    def __init__(self, answer):
+        self.answer = answer
--- a/tests/state_service.py
+++ b/tests/state_service.py
@@ -6,7 +6,7 @@
 from copperpass.core.fleet_store import FleetStore, StoredFleet
 from copperpass.core.ports import Outbox, Outcome
 from copperpass.core.transactions import TransactionQueue
-from tests.simulation import State
+from tests.standins.state import State
 
 # Limits that the settings announce under `state.next`.
 
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -12,7 +12,8 @@
 from copperpass.core.ports import Outbox, Outcome
 from copperpass.core.transactions import TransactionQueue
 from copperpass.settings import SettingsError
-from tests.simulation import State, raw_settings
+from tests.bodies import raw_settings
+from tests.standins.state import State
 
 
 class Model:
--- a/tests/test_completion_store.py
+++ b/tests/test_completion_store.py
@@ -10,7 +10,7 @@
 from copperpass.core.ports import Outcome
 from copperpass.core.transactions import TransactionQueue
 from tests import production
-from tests.simulation import job
+from tests.bodies import job
 from tests.state_service import COMING, Service
 
 
--- a/tests/test_concurrent_failures.py
+++ b/tests/test_concurrent_failures.py
@@ -11,7 +11,8 @@
 from copperpass.core.ports import Outbox, Outcome
 from copperpass.core.transactions import TransactionQueue
 from copperpass.settings import parse
-from tests.simulation import Simulation, User, job, raw_settings
+from tests.bodies import job, raw_settings
+from tests.simulation import Simulation, User
 from tests.test_pool_scheduler import Bench
 
 
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -8,7 +8,9 @@
 
 from copperpass import wire
 from copperpass.core.jobs import make_job
-from tests.simulation import Simulation, WorkerRequest, job
+from tests.bodies import job
+from tests.simulation import Simulation
+from tests.standins.worker import WorkerRequest
 
 
 def finished(simulation, *numbers):
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -5,7 +5,8 @@
 from copperpass.core.authority import Authority
 from copperpass.core.node import Node
 from copperpass.peer import JobCancelled
-from tests.simulation import Simulation, job
+from tests.bodies import job
+from tests.simulation import Simulation
 from tests.test_end_to_end import running
 
 
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from tests.bodies import gang, job
+from tests.deployments import TYPE
 from tests.gang_stories import (
     attempts,
     begun,
@@ -18,7 +20,7 @@
     runs,
     told,
 )
-from tests.simulation import TYPE, Simulation, gang, job
+from tests.simulation import Simulation
 
 
 def test_a_gang_starts_whole_and_is_told_done():
--- a/tests/test_gangs_stop.py
+++ b/tests/test_gangs_stop.py
@@ -6,8 +6,8 @@
 
 from copperpass import wire
 from copperpass.core.ports import Outcome
+from tests.bodies import gang, job
 from tests.gang_stories import attempts, begun, count, done, fine, marks, present, progress, runs
-from tests.simulation import gang, job
 from tests.test_pool_scheduler import Bench
 
 
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -4,7 +4,8 @@
 
 from copperpass import peer
 from copperpass.core.directory import Feed, Inbox, Status, Table
-from tests.simulation import Simulation, job
+from tests.bodies import job
+from tests.simulation import Simulation
 
 
 def owners(simulation):
--- a/tests/test_one_team.py
+++ b/tests/test_one_team.py
@@ -7,8 +7,9 @@
 import pytest
 
 from copperpass import settings as settings_module
+from tests.bodies import job, raw_settings
 from tests.deployments import ONE_TEAM
-from tests.simulation import Simulation, job, raw_settings
+from tests.simulation import Simulation
 
 
 def simulate(seed=1):
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -11,7 +11,8 @@
 from copperpass.core.jobs import make_job
 from copperpass.core.scheduling.ranking import PlacementPolicy, Ranking
 from copperpass.settings import Objective
-from tests.simulation import TYPE, job
+from tests.bodies import job
+from tests.deployments import TYPE
 
 AIMS = [Objective("wait", "quick", within_s=4.0), Objective("finished", "slow", within_s=100.0)]
 
--- a/tests/test_pool_scheduler.py
+++ b/tests/test_pool_scheduler.py
@@ -14,7 +14,8 @@
 from copperpass.core.ports import Outbox, Outcome
 from copperpass.core.scheduling.context import SchedulerContext
 from copperpass.core.transactions import TransactionQueue
-from tests.simulation import TYPE, job, raw_settings
+from tests.bodies import job, raw_settings
+from tests.deployments import TYPE
 
 
 class Bench:
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -7,7 +7,7 @@
 
 from copperpass import wire
 from copperpass.core.scheduling.freed_room import stop_cost, worth_saving
-from tests.simulation import job
+from tests.bodies import job
 from tests.test_pool_scheduler import Bench
 
 URGENT, PATIENT = {"urgency": "high"}, {"urgency": "low", "slot": "slow"}
--- a/tests/test_rolling_upgrade.py
+++ b/tests/test_rolling_upgrade.py
@@ -9,7 +9,8 @@
 import pytest
 
 from tests import production
-from tests.simulation import Simulation, gang, job
+from tests.bodies import gang, job
+from tests.simulation import Simulation
 from tests.state_service import COMING
 
 OLD = {"0.2.0": production.VERSION_0_2_0, "0.3.0": None}
--- a/tests/test_service_guarantees.py
+++ b/tests/test_service_guarantees.py
@@ -5,7 +5,8 @@
 import pytest
 
 from copperpass.core.ports import Outcome
-from tests.simulation import Simulation, gang, job
+from tests.bodies import gang, job
+from tests.simulation import Simulation
 from tests.test_concurrent_failures import (
     new_leader,
     over,
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -2,7 +2,9 @@
 
 import pytest
 
-from tests.simulation import Simulation, Worker, gang
+from tests.bodies import gang
+from tests.simulation import Simulation
+from tests.standins.worker import Worker
 
 
 class Hand:
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -21,8 +21,9 @@
 from copperpass.core.relay import Relay
 from copperpass.settings import Team, parse
 from copperpass.tuning import Tuning
+from tests.bodies import job, raw_settings
 from tests.deployments import LARGE, TYPE
-from tests.simulation import Simulation, job, raw_settings
+from tests.simulation import Simulation
 from tests.state_service import Service
 from tests.test_fleet_store import fill
 from tests.test_order import made
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -19,7 +19,7 @@
 from copperpass.net.client import Client
 from copperpass.net.peers import Peers
 from copperpass.net.server import ApiFactory, BoundedBody
-from tests.simulation import raw_settings
+from tests.bodies import raw_settings
 
 ROOT = pathlib.Path(__file__).parent.parent
 
--- a/tests/test_users.py
+++ b/tests/test_users.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from tests.simulation import Simulation, gang, job
+from tests.bodies import gang, job
+from tests.simulation import Simulation
 
 
 @pytest.fixture(scope="module")
--- a/tests/test_value_limits.py
+++ b/tests/test_value_limits.py
@@ -4,7 +4,8 @@
 
 from copperpass import settings as settings_module
 from copperpass import wire
-from tests.simulation import Simulation, job, raw_settings
+from tests.bodies import job, raw_settings
+from tests.simulation import Simulation
 from tests.state_service import COMING
 
 
