--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import json
 import math
 from dataclasses import dataclass, field
 from typing import Any
 
+from copperpass import wire
+
 TYPE = {
     "name": "box",
     "cpus": 16.0,
@@ -23,6 +26,13 @@
 LIMITS = {"write_rps": 60.0, "value_kb": 32.0, "txn_ops": 16}
 
 
+def machine_types(*offer: dict[str, Any]) -> dict[str, wire.MachineType]:
+    """An offer as the code reads it, by name."""
+    read = wire.decode(json.dumps({"racks": offer}).encode(), wire.MachineTypes)
+    assert read is not None
+    return {kind.name: kind for kind in read.types}
+
+
 def team(name: str, cpus: float, cpus_max: float) -> dict[str, Any]:
     """A team as the settings have it."""
     return {"name": name, "cpus": cpus, "cpus_max": cpus_max, "gpus": 0.0, "gpus_max": 0.0}
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -12,7 +12,7 @@
 from copperpass.core.scheduling.ranking import PlacementPolicy, Ranking
 from copperpass.settings import Objective
 from tests.bodies import job
-from tests.deployments import TYPE
+from tests.deployments import TYPE, machine_types
 
 AIMS = [Objective("wait", "quick", within_s=4.0), Objective("finished", "slow", within_s=100.0)]
 
@@ -47,9 +47,7 @@
 
 
 def types(*shapes):
-    made = [{**TYPE, "name": n, "cpus": c, "memory_gb": 4 * c} for n, c in shapes]
-    offer = wire.decode(json.dumps({"racks": made}).encode(), wire.MachineTypes)
-    return {t.name: t for t in offer.types}
+    return machine_types(*({**TYPE, "name": n, "cpus": c, "memory_gb": 4 * c} for n, c in shapes))
 
 
 def test_types_that_large_tasks_need_are_kept_from_small_ones_while_large_ones_are_about():
@@ -134,10 +132,7 @@
 
 def crowded_crate(large_cpus, remaining_s):
     """A machine of the large type with one large task on it."""
-    kind = wire.decode(
-        json.dumps({"racks": [{**TYPE, "name": "crate", "cpus": 64.0}]}).encode(), wire.MachineTypes
-    ).types[0]
-    machine = Machine("m-1", kind, "a", True)
+    machine = Machine("m-1", types(("crate", 64.0))["crate"], "a", True)
     large = Placement(
         "req-000009", 0, 1, "m-1", "red", "slow", 0, large_cpus, 0.0, 8.0, "img-1", remaining_s
     )
@@ -170,9 +165,7 @@
 
 
 def test_the_smallest_task_that_a_type_is_reserved_for_is_known():
-    offer = [TYPE, {**TYPE, "name": "crate", "cpus": 64.0}]
-    types = wire.decode(json.dumps({"racks": offer}).encode(), wire.MachineTypes).types
-    scarce = Scarce({kind.name: kind for kind in types}, 300.0)
+    scarce = Scarce(types(("box", 16.0), ("crate", 64.0)), 300.0)
     scarce.note(0.0, [made(1, 0.0, cpus=40.0), made(2, 0.0, cpus=24.0), made(3, 0.0, cpus=4.0)])
     assert {name: spec.cpus for name, spec in scarce.smallest.items()} == {"crate": 24.0}
     scarce.note(1.0, [made(3, 0.0, cpus=4.0)])
--- a/tests/test_pool_scheduler.py
+++ b/tests/test_pool_scheduler.py
@@ -15,7 +15,7 @@
 from copperpass.core.scheduling.context import SchedulerContext
 from copperpass.core.transactions import TransactionQueue
 from tests.bodies import job, raw_settings
-from tests.deployments import TYPE
+from tests.deployments import TYPE, machine_types
 
 
 class Bench:
@@ -26,9 +26,7 @@
         self.out, self.jobs, self.now = Outbox(), JobTable(), 10.0
         self.fresh_at = float("-inf")
         transactions = TransactionQueue(self.out, 60.0, 16, 1.0)
-        types = {
-            "box": wire.decode(json.dumps({"racks": [TYPE]}).encode(), wire.MachineTypes).types[0]
-        }
+        types = machine_types(TYPE)
         self.token = base_token(1, 1)
         context = SchedulerContext(
             cluster,
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -1,11 +1,10 @@
 """About 4,000 machines: no fixed number stands below that, and no work grows with its square."""
 
-import json
 import sys
 
 import pytest
 
-from copperpass import peer, wire
+from copperpass import peer
 from copperpass.core import rental
 from copperpass.core.directory import (
     MOST_HANDOVERS,
@@ -22,7 +21,7 @@
 from copperpass.settings import Team, parse
 from copperpass.tuning import Tuning
 from tests.bodies import job, raw_settings
-from tests.deployments import LARGE, TYPE
+from tests.deployments import LARGE, TYPE, machine_types
 from tests.simulation import Simulation
 from tests.state_service import Service
 from tests.test_fleet_store import fill
@@ -121,14 +120,10 @@
     assert pages * 1024 * value_kb < 4 * 40 * MACHINES
 
 
-def made_type():
-    return wire.decode(json.dumps({"racks": [TYPE]}).encode(), wire.MachineTypes).types[0]
-
-
 @pytest.mark.parametrize("machines", [400, 4000])
 def test_a_job_that_finds_no_room_does_not_look_at_full_machines(machines):
     # Each waiting job looked at each machine: thousands by thousands, several times a second.
-    kind = made_type()
+    kind = machine_types(TYPE)["box"]
     looks = []
 
     class Counted(rental.Room):
