Work of a dispatch round and size of messages bounded for any accepted job

Cause: a task without amounts fits a machine any number of times, and one round started all of them. Each start recounted all tasks of its machine, so the round took quadratic time on the only thread. The same cause stood on related paths: removal, stop and lost epoch of a machine's tasks one by one; whole records compared in the list of pending starts; the zones of all placed tasks counted for each start of a zone-bound job; a gang's plan and its preemption; completions not stored yet. Nothing bounded the commands in a message or the tasks that a heartbeat lists, both limited to 64 KiB.

Change: a start adds to its machine's totals in constant time; removals recount once; pending starts by key; zones counted once a ranking. A machine has at most 448 tasks (64 KiB of its heartbeat), which placement, gangs, preemption, reservations and the planner's free capacity know alike. A round starts at most 1,024 tasks. Tasks without CPUs request one machine at a time. Event `input handling slow` tells a busy thread from a lost network, which the log could not.

--- a/src/copperpass/core/autoscaling/free_capacity.py
+++ b/src/copperpass/core/autoscaling/free_capacity.py
@@ -14,7 +14,7 @@
 from copperpass.core.scheduling.task_estimates import remaining_s
 from copperpass.protocol.cloud import MachineType
 from copperpass.protocol.users import JobSpec
-from copperpass.protocol.workers import TaskState
+from copperpass.protocol.workers import MAX_TASKS_PER_MACHINE, TaskState
 
 # Resources that a running task will release: seconds until then, CPUs, GPUs, memory in GB. A plain
 # tuple for speed: one is created per running task whenever a scheduler measures its unmet demand.
@@ -32,6 +32,8 @@
     gpus: float
     memory_gb: float
     expected_releases: list[ExpectedRelease]
+    # How many more tasks the machine's messages have room for.
+    free_slots: int = MAX_TASKS_PER_MACHINE
     # The CPUs that are free once all tasks running on the machine have completed.
     max_cpus: float = 0.0
 
@@ -45,13 +47,15 @@
         if not satisfies_constraints(spec, self.machine_type, self.zone, self.spot):
             return 0
         cpus, gpus, memory_gb = self.cpus, self.gpus, self.memory_gb
+        tasks = self.free_slots
         for seconds, released_cpus, released_gpus, released_memory_gb in self.expected_releases:
             if seconds <= horizon_s:
+                tasks += 1
                 cpus += released_cpus
                 gpus += released_gpus
                 memory_gb += released_memory_gb
         # Inlined from `slots_in` for speed: this runs for each pending job and each machine.
-        tasks = limit
+        tasks = min(limit, tasks)
         for needed, free in ((spec.cpus, cpus), (spec.gpus, gpus), (spec.memory_gb, memory_gb)):
             if needed > 0:
                 tasks = min(tasks, int((free + CAPACITY_TOLERANCE) / needed))
@@ -66,6 +70,7 @@
         self.max_cpus -= tasks * spec.cpus
         self.gpus -= tasks * spec.gpus
         self.memory_gb -= tasks * spec.memory_gb
+        self.free_slots -= tasks
         return tasks
 
 
@@ -91,7 +96,14 @@
         ]
         capacities.append(
             FreeCapacity(
-                machine.type, machine.zone, machine.spot, cpus, gpus, memory_gb, expected_releases
+                machine.type,
+                machine.zone,
+                machine.spot,
+                cpus,
+                gpus,
+                memory_gb,
+                expected_releases,
+                machine.free_slots(),
             )
         )
     return capacities
--- a/src/copperpass/core/scheduling/bin_packing/feasibility.py
+++ b/src/copperpass/core/scheduling/bin_packing/feasibility.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
 from copperpass.core.jobs.job import Job
@@ -74,12 +75,16 @@
     return (spec.tasks + 1) // 2 if spec.spread else spec.tasks
 
 
-def zone_feasible(job: Job, zone: str, machines: dict[str, Machine]) -> bool:
-    """Whether one more task of a job may go into a zone, given the zones of its other tasks."""
-    spec = job.spec
-    if not spec.one_zone and not spec.spread:
-        return True
-    counts = tasks_by_zone(job, machines)
+def is_zone_bound(spec: JobSpec) -> bool:
+    """Whether the zones of a job's placed tasks decide where its other tasks may go."""
+    return spec.one_zone or spec.spread
+
+
+def zone_feasible(spec: JobSpec, zone: str, counts: Mapping[str, int]) -> bool:
+    """Whether one more task of a job may go into a zone, given its number of tasks by zone.
+
+    `counts` is not used for a job that is not bound by zones, see `is_zone_bound`.
+    """
     if spec.one_zone and any(other != zone for other in counts):
         return False
     return not spec.spread or counts.get(zone, 0) + 1 <= zone_limit(spec)
--- a/src/copperpass/core/scheduling/bin_packing/gang_placement.py
+++ b/src/copperpass/core/scheduling/bin_packing/gang_placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 
 from copperpass.core.jobs.job import Job
@@ -62,7 +63,7 @@
     counts = tasks_by_zone(job, machines)
     placements: list[tuple[int, Machine]] = []
     used: list[PlacementScore] = []
-    remaining = list(missing)
+    remaining = deque(missing)
     for score, machine, slots in _by_preference(job, len(missing), scored):
         if not remaining:
             break
@@ -70,16 +71,26 @@
         # Exited tasks that haven't been cleared are still listed on the machine. It would ignore a
         # start of such a task under the same attempt, and refuse one under another attempt.
         present = {index for job_id, index, _ in machine.tasks if job_id == spec.id}
-        chosen = [index for index in remaining if index not in present][:free_slots]
+        chosen = _take_first(remaining, free_slots, present)
         if not chosen:
             continue
         counts[machine.zone] = counts.get(machine.zone, 0) + len(chosen)
         placements += [(index, machine) for index in chosen]
-        remaining = [index for index in remaining if index not in chosen]
         used.append(score)
     return None if remaining else GangPlan(placements, _cost(used))
 
 
+def _take_first(remaining: deque[int], limit: int, excluded: set[int]) -> list[int]:
+    """Remove and return the first indexes that are not excluded, up to `limit`."""
+    chosen: list[int] = []
+    skipped: list[int] = []
+    while remaining and len(chosen) < limit:
+        index = remaining.popleft()
+        (skipped if index in excluded else chosen).append(index)
+    remaining.extendleft(reversed(skipped))
+    return chosen
+
+
 def _by_preference(
     job: Job, count: int, scored: list[tuple[PlacementScore, Machine]]
 ) -> list[tuple[PlacementScore, Machine, int]]:
@@ -89,7 +100,11 @@
     Then come those with more slots, so that the gang is on few machines, and then the cheaper ones.
     """
     ranked = [
-        (score, machine, slots_in(job.spec, machine.free_capacity(), count))
+        (
+            score,
+            machine,
+            slots_in(job.spec, machine.free_capacity(), min(count, machine.free_slots())),
+        )
         for score, machine in scored
     ]
     ranked.sort(
--- a/src/copperpass/core/scheduling/bin_packing/ranking.py
+++ b/src/copperpass/core/scheduling/bin_packing/ranking.py
@@ -7,7 +7,12 @@
 from dataclasses import dataclass, field
 
 from copperpass.core.jobs.job import Job
-from copperpass.core.scheduling.bin_packing.feasibility import satisfies_constraints, zone_feasible
+from copperpass.core.scheduling.bin_packing.feasibility import (
+    is_zone_bound,
+    satisfies_constraints,
+    tasks_by_zone,
+    zone_feasible,
+)
 from copperpass.core.scheduling.machines import Machine
 from copperpass.core.scheduling.prices import hourly_price
 from copperpass.core.scheduling.task_estimates import remaining_s
@@ -66,7 +71,9 @@
         policy: PlacementPolicy,
         started_on_position: int = 0,
     ) -> None:
-        self.job, self.machines, self.now = job, machines, now
+        self.job, self.now = job, now
+        # The job's placed tasks by zone; empty if they don't restrict the zones of the others.
+        self.zone_counts = tasks_by_zone(job, machines) if is_zone_bound(job.spec) else {}
         self.policy = policy
         self.started_on_position = started_on_position
         # Score, insertion number, machine.
@@ -139,6 +146,11 @@
         needed_s = BACKFILL_MARGIN * spec.estimate_s + machine.fetch_s(spec)
         return bool(remaining) and needed_s <= min(remaining)
 
+    def on_started(self, machine: Machine) -> None:
+        """Count a task of the job that has been started on a machine."""
+        if is_zone_bound(self.job.spec):
+            self.zone_counts[machine.zone] = self.zone_counts.get(machine.zone, 0) + 1
+
     def best(self, started_on: list[Machine]) -> Machine | None:
         """Return the best machine now; None if no machine can take a task of the job.
 
@@ -150,7 +162,9 @@
         while self.heap:
             score, insertion_number, machine = self.heap[0]
             current_score = self._score(machine)
-            if current_score is None or not zone_feasible(self.job, machine.zone, self.machines):
+            if current_score is None or not zone_feasible(
+                self.job.spec, machine.zone, self.zone_counts
+            ):
                 # Within a round, free capacity only shrinks, and a zone that is infeasible for the
                 # job stays so. The machine can be dropped for good.
                 heapq.heappop(self.heap)
--- a/src/copperpass/core/scheduling/command_results.py
+++ b/src/copperpass/core/scheduling/command_results.py
@@ -42,8 +42,7 @@
             self._back_off(now, machine)
         if status in (400, 409, NOT_SENT):
             # The worker has certainly executed nothing.
-            for placement in unconfirmed:
-                self.tasks.remove(now, machine, placement)
+            self.tasks.remove_all(now, machine, unconfirmed)
         elif (status != 200 or heartbeat is None) and result.had_commands:
             # Outcome unknown: the worker may execute the request at any later time, until it has
             # accepted a higher token or begun another agent epoch.
--- a/src/copperpass/core/scheduling/commands.py
+++ b/src/copperpass/core/scheduling/commands.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from itertools import islice
 
 from copperpass.core.jobs.task_ids import task_id
 from copperpass.core.ports import Call, CallOutcome, ExternalService
@@ -15,6 +16,7 @@
 from copperpass.protocol.json_codec import encode
 from copperpass.protocol.workers import (
     COMMANDS_PATH,
+    MAX_TASKS_PER_MACHINE,
     Command,
     CommandKind,
     DirectCommands,
@@ -50,6 +52,14 @@
     return Command(CommandKind.STOP, task, placement.attempt, placement.stop_grace_s)
 
 
+def _take_pending_starts(machine: Machine, limit: int) -> list[Placement]:
+    """Remove up to `limit` starts from a machine's pending ones, the oldest first."""
+    starts = list(islice(machine.pending_starts.values(), limit))
+    for placement in starts:
+        del machine.pending_starts[placement.key]
+    return starts
+
+
 class Commands:
     """Sends starts, stops and clearances, with at most one direct request per machine in flight.
 
@@ -93,6 +103,10 @@
         commands: list[Command] = []
         raise_token = False
         for placement in machine.tasks.values():
+            if len(commands) >= MAX_TASKS_PER_MACHINE:
+                # Only a machine that was taken over can have so many tasks. The others get their
+                # commands with the next answers.
+                break
             if placement.state == TaskState.EXITED:
                 if not placement.stored or not placement.reported:
                     continue
@@ -109,18 +123,18 @@
         if not machine.command_in_flight:
             if raise_token:
                 machine.token += 1
-            commands += self._starts_for_heartbeat(now, machine, heartbeat)
+            limit = MAX_TASKS_PER_MACHINE - len(commands)
+            commands += self._starts_for_heartbeat(now, machine, heartbeat, limit)
         return commands
 
     def _starts_for_heartbeat(
-        self, now: float, machine: Machine, heartbeat: WorkerHeartbeat
+        self, now: float, machine: Machine, heartbeat: WorkerHeartbeat, limit: int
     ) -> list[Command]:
         commands = []
-        for placement in machine.pending_starts:
+        for placement in _take_pending_starts(machine, limit):
             placement.sent_sequence, placement.sent_directly = heartbeat.sequence, False
             placement.sent_at, placement.start_token = now, machine.token
             commands.append(_start_command(placement))
-        machine.pending_starts.clear()
         return commands
 
     def send(self, now: float, machine: Machine) -> None:
@@ -143,9 +157,10 @@
             and placement.reported
             and placement.stop_grace_s is not None
             and placement.stop_sent_at == 0.0
-        ]
+        ][:MAX_TASKS_PER_MACHINE]
         if stops or machine.pending_starts:
-            self._send_request(now, machine, stops, list(machine.pending_starts))
+            starts = _take_pending_starts(machine, MAX_TASKS_PER_MACHINE - len(stops))
+            self._send_request(now, machine, stops, starts)
 
     def _send_request(
         self, now: float, machine: Machine, stops: list[Placement], starts: list[Placement]
@@ -158,7 +173,6 @@
             placement.sent_at, placement.sent_directly = now, True
             placement.start_token = machine.token
             commands.append(_start_command(placement))
-        machine.pending_starts.clear()
         machine.command_in_flight = True
         self.requests_in_flight += 1
         had_commands = bool(commands)
--- a/src/copperpass/core/scheduling/demand.py
+++ b/src/copperpass/core/scheduling/demand.py
@@ -24,6 +24,7 @@
 from copperpass.core.scheduling.task_statuses import MIN_MACHINES_OF_FAULTY_JOB
 from copperpass.protocol.frames.messages import PendingTasks
 from copperpass.protocol.users import JobSpec
+from copperpass.protocol.workers import MAX_TASKS_PER_MACHINE
 
 # A machine's type, its zone, and whether it is a spot machine.
 MachineKind = tuple[str, str, bool]
@@ -111,6 +112,9 @@
             if spec.gang and allowed < count:
                 return None
             count = int(min(count, allowed))
+        elif not spec.gang:
+            # No limit applies to tasks without CPUs. One machine at a time is requested for them.
+            count = min(count, MAX_TASKS_PER_MACHINE)
         return count
 
     def usage(self) -> dict[str, ResourceUsage]:
--- a/src/copperpass/core/scheduling/dispatch_round.py
+++ b/src/copperpass/core/scheduling/dispatch_round.py
@@ -27,6 +27,9 @@
 
 # A task is large if it takes at least this many times the CPUs of the smallest present task.
 LARGE_TASK_RATIO = 4
+# A round starts at most this many tasks besides those of its last gang; the next round goes on. It
+# limits the time for which the controller's only thread serves nothing else.
+MAX_STARTS_PER_ROUND = 1024
 # The entry for all gangs in `reservation_holders`, whose other entries are team names.
 GANG_HOLDER = "gang"
 
@@ -101,11 +104,11 @@
         self.infeasible_shapes: set[TaskShape] = set()
 
     def place_all(self) -> None:
-        """Start tasks until all queues are empty.
+        """Start tasks until all queues are empty or the round has reached its limit.
 
         A job without a feasible machine leaves its queue for the rest of the round.
         """
-        while self.usable:
+        while self.usable and not self.is_full:
             job = self.queues.next_job()
             if job is None:
                 break
@@ -114,6 +117,11 @@
             else:
                 self._place_task(job)
 
+    @property
+    def is_full(self) -> bool:
+        """Whether the round has started as many tasks as one round may start."""
+        return len(self.started_on) >= MAX_STARTS_PER_ROUND
+
     def _place_gang(self, job: Job) -> None:
         """Start a gang as a whole; if it can't start, reserve quota or capacity for it."""
         now, team = self.now, job.spec.team
@@ -142,7 +150,7 @@
         if spec.team in self.quota_reservations:
             return
         if self.slos.start_deadline(job, self.now) - self.now < self.boot_s:
-            count = len(job.pending_tasks())
+            count = job.pending_count()
             self.quota_reservations[spec.team] = QuotaReservation(
                 job.arrived_at, count * spec.cpus, count * spec.gpus
             )
@@ -165,6 +173,7 @@
             self._reserve_capacity(job, urgency)
             return
         self.tasks.start(self.now, job, index, machine)
+        self.rankings[job.spec.id].on_started(machine)
         if urgency.starving:
             # The job is no longer starving once a task is placed. Its ranking ignored reservations;
             # the next task needs a new one that respects them.
--- a/src/copperpass/core/scheduling/dispatcher.py
+++ b/src/copperpass/core/scheduling/dispatcher.py
@@ -76,6 +76,9 @@
         self._flag_urgent(now, dispatch_round.unplaced)
         if dispatch_round.unplaced and self.tuning.preemption:
             self.preemption.preempt(now, dispatch_round.unplaced, usable, queues.used)
+        if dispatch_round.is_full:
+            # Queued jobs are left that machines may still have capacity for.
+            state.dirty = True
         # The pause grows with the backlog, so that under load each round handles a larger batch.
         max_pause_s = state.timing.heartbeat_interval_s / 4
         pause_s = MIN_PAUSE_S + PAUSE_PER_JOB_S * queues.backlog
--- a/src/copperpass/core/scheduling/evictions.py
+++ b/src/copperpass/core/scheduling/evictions.py
@@ -5,7 +5,7 @@
 from copperpass.core.jobs.job_table import JobTable
 from copperpass.core.scheduling.gang_monitor import GangMonitor
 from copperpass.core.scheduling.machines import Machine
-from copperpass.core.scheduling.placements import Placement, StopReason
+from copperpass.core.scheduling.placements import StopReason
 from copperpass.core.scheduling.state import ShardState
 from copperpass.core.scheduling.task_estimates import remaining_s
 from copperpass.core.scheduling.tasks import TaskLifecycle
@@ -27,20 +27,24 @@
     def on_interruption_notice(self, now: float, machine: Machine, time_left_s: float) -> None:
         """Stop tasks that won't complete before the cloud interrupts the machine."""
         self.state.dirty = True
-        for placement in list(machine.pending_starts):
-            self.tasks.remove(now, machine, placement)
+        self.tasks.remove_all(now, machine, machine.pending_starts.values())
+        # By job id: a gang's machines are examined once and not once for each of its tasks.
+        cannot_checkpoint: dict[str, bool] = {}
         for placement in list(machine.tasks.values()):
             if not placement.active or placement.stop_grace_s is not None:
                 continue
-            if self._cannot_checkpoint(now, placement, time_left_s):
+            job_id = placement.job_id
+            if job_id not in cannot_checkpoint:
+                cannot_checkpoint[job_id] = self._cannot_checkpoint(now, job_id, time_left_s)
+            if cannot_checkpoint[job_id]:
                 # The gang may still complete if it continues to run.
                 continue
             if remaining_s(placement, now) > INTERRUPTION_MARGIN_RATIO * time_left_s:
                 self.tasks.stop(now, placement, StopReason.INTERRUPTION_NOTICE)
 
-    def _cannot_checkpoint(self, now: float, placement: Placement, time_left_s: float) -> bool:
-        """Whether a task's gang runs and can't write a checkpoint within `time_left_s` seconds."""
-        job = self.jobs.jobs.get(placement.job_id)
+    def _cannot_checkpoint(self, now: float, job_id: str, time_left_s: float) -> bool:
+        """Whether a job is a gang that runs and can't checkpoint within `time_left_s` seconds."""
+        job = self.jobs.jobs.get(job_id)
         return (
             job is not None
             and job.spec.gang
--- a/src/copperpass/core/scheduling/gang_placer.py
+++ b/src/copperpass/core/scheduling/gang_placer.py
@@ -35,7 +35,7 @@
         allow the whole gang now or tasks of an earlier attempt are not proven gone. `started_on`
         lists the machines on which this round has started tasks.
         """
-        spec, count = job.spec, len(job.pending_tasks())
+        spec, count = job.spec, job.pending_count()
         team = self.state.teams_by_name[spec.team]
         if exceeds_limit(team, used, count * spec.cpus, count * spec.gpus):
             return None
--- a/src/copperpass/core/scheduling/job_results.py
+++ b/src/copperpass/core/scheduling/job_results.py
@@ -42,13 +42,16 @@
             )
         )
 
-    def store(self, now: float, job: Job) -> None:
-        """Store a job's completions: at once if all tasks have completed, otherwise batched."""
+    def store(self, now: float, job: Job, index: int | None = None) -> None:
+        """Store a job's completions: at once if all tasks have completed, otherwise batched.
+
+        `index`: the only completed task since the last call; None if there may be others.
+        """
         if job.completion_in_flight:
             return
         if not job.all_completed():
             if job.unstored:
-                self.completions.record(now, job)
+                self.completions.record(now, job, index)
             return
         job.completion_in_flight = True
         key = LIVE_JOBS_PREFIX + job.spec.id
--- a/src/copperpass/core/scheduling/machines.py
+++ b/src/copperpass/core/scheduling/machines.py
@@ -10,6 +10,7 @@
 from copperpass.protocol.cloud import MachineType
 from copperpass.protocol.frames.messages import MachineStatus
 from copperpass.protocol.users import JobSpec
+from copperpass.protocol.workers import MAX_TASKS_PER_MACHINE
 
 # Assumed image fetch rate of a machine type that declares none.
 MIN_FETCH_GB_PER_S = 1e-3
@@ -66,7 +67,7 @@
     command_backoff_until: float = 0.0
     failed_jobs: set[str] = field(default_factory=set)
     tasks: dict[PlacementKey, Placement] = field(default_factory=dict)
-    pending_starts: list[Placement] = field(default_factory=list)
+    pending_starts: dict[PlacementKey, Placement] = field(default_factory=dict)
     images: OrderedDict[str, float] = field(default_factory=OrderedDict)
     # Totals that `recount` computes from the active tasks whenever these have changed: their usage,
     # also by team (CPUs, GPUs); their lowest priority; whether one belongs to an unidentified job.
@@ -93,6 +94,22 @@
         """Whether the machine certainly has no task, and no command is in flight."""
         return not (self.tasks or self.pending_starts or self.command_in_flight)
 
+    def free_slots(self) -> int:
+        """Return how many more tasks its heartbeats and commands have room for."""
+        return MAX_TASKS_PER_MACHINE - len(self.tasks)
+
+    def add_usage(self, placement: Placement) -> None:
+        """Add a task that has just been added as the last one to the usage totals.
+
+        The sums are those that `recount` would compute, so both may be mixed.
+        """
+        self.used_cpus += placement.cpus
+        self.used_gpus += placement.gpus
+        self.used_memory_gb += placement.memory_gb
+        cpus, gpus = self.usage_by_team.get(placement.team, (0.0, 0.0))
+        self.usage_by_team[placement.team] = (cpus + placement.cpus, gpus + placement.gpus)
+        self.lowest_priority = min(self.lowest_priority, placement.priority)
+
     def recount(self) -> None:
         """Recompute the usage totals from the active tasks."""
         cpus = gpus = memory = 0.0
@@ -131,7 +148,8 @@
         """Whether a task of the job fits into the capacity that is free now."""
         machine_type = self.type
         return (
-            fits_within(spec.cpus, machine_type.cpus - self.used_cpus)
+            self.free_slots() > 0
+            and fits_within(spec.cpus, machine_type.cpus - self.used_cpus)
             and fits_within(spec.memory_gb, machine_type.memory_gb - self.used_memory_gb)
             and fits_within(spec.gpus, machine_type.gpus - self.used_gpus)
         )
--- a/src/copperpass/core/scheduling/ownership.py
+++ b/src/copperpass/core/scheduling/ownership.py
@@ -75,8 +75,7 @@
         The grant of the shard arrived before the route. With the earlier token, the machine's
         heartbeats would be refused permanently.
         """
-        for placement in list(machine.tasks.values()):
-            self.tasks.remove(now, machine, placement)
+        self.tasks.remove_all(now, machine, machine.tasks.values())
         self.state.quota_usage.drop(machine)
         self.state.unreconciled.discard(machine.name)
         del self.machines[machine.name]
@@ -110,8 +109,7 @@
         if self.state.release_if_empty(machine) or not drain:
             return
         machine.draining = True
-        for placement in list(machine.pending_starts):
-            self.tasks.remove(now, machine, placement)
+        self.tasks.remove_all(now, machine, machine.pending_starts.values())
         for placement in list(machine.tasks.values()):
             if placement.active and placement.stop_grace_s is None:
                 self.tasks.stop(now, placement, StopReason.RECLAIMED)
--- a/src/copperpass/core/scheduling/preemption.py
+++ b/src/copperpass/core/scheduling/preemption.py
@@ -6,7 +6,12 @@
 from dataclasses import dataclass
 
 from copperpass.core.jobs.job import Job
-from copperpass.core.scheduling.bin_packing.feasibility import fits_within, zone_feasible
+from copperpass.core.scheduling.bin_packing.feasibility import (
+    fits_within,
+    is_zone_bound,
+    tasks_by_zone,
+    zone_feasible,
+)
 from copperpass.core.scheduling.commands import Commands
 from copperpass.core.scheduling.context import SchedulerContext
 from copperpass.core.scheduling.machines import NO_PRIORITY, Machine
@@ -140,13 +145,14 @@
         """List a plan for each machine on which preemption would free enough capacity."""
         job, priority = preemptor.job, preemptor.priority
         machines, jobs = self.state.machines, self.jobs.jobs
+        zone_counts = tasks_by_zone(job, machines) if is_zone_bound(job.spec) else {}
         plans: list[PreemptionPlan] = []
         for machine in usable:
             if now < machine.reserved_until or (
                 machine.lowest_priority >= priority and not preemptor.under_guarantee
             ):
                 continue
-            if not zone_feasible(job, machine.zone, machines):
+            if not zone_feasible(job.spec, machine.zone, zone_counts):
                 continue
             if machine.fetch_s(job.spec) > preemptor.slack_s:
                 # The machine would fetch the job's image too late for the start deadline.
--- a/src/copperpass/core/scheduling/quota_usage.py
+++ b/src/copperpass/core/scheduling/quota_usage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from copperpass.core.scheduling.machines import Machine
+from copperpass.core.scheduling.placements import Placement
 
 
 class QuotaUsage:
@@ -25,6 +26,18 @@
         else:
             self.unidentified.discard(machine.name)
 
+    def on_task_added(self, machine: Machine, placement: Placement) -> None:
+        """Update the sums after one identified task was added to a machine; takes constant time.
+
+        The cost of a dispatch round would otherwise grow with the square of the number of tasks
+        that it starts on one machine.
+        """
+        if machine.usage_stale:
+            self.recount(machine)
+            return
+        machine.add_usage(placement)
+        self._add_to_team(placement.team, placement.cpus, placement.gpus)
+
     def drop(self, machine: Machine) -> None:
         """Subtract the usage of a machine that the shard no longer owns."""
         self._add(machine, -1.0)
@@ -33,9 +46,12 @@
 
     def _add(self, machine: Machine, sign: float) -> None:
         for team, (cpus, gpus) in machine.usage_by_team.items():
-            sums = self.teams.setdefault(team, [0.0, 0.0])
-            sums[0] += sign * cpus
-            sums[1] += sign * gpus
+            self._add_to_team(team, sign * cpus, sign * gpus)
+
+    def _add_to_team(self, team: str, cpus: float, gpus: float) -> None:
+        sums = self.teams.setdefault(team, [0.0, 0.0])
+        sums[0] += cpus
+        sums[1] += gpus
 
     def of(self, team: str) -> tuple[float, float]:
         """Return the CPUs and GPUs that a team's tasks use or may be using."""
--- a/src/copperpass/core/scheduling/reservation_planning.py
+++ b/src/copperpass/core/scheduling/reservation_planning.py
@@ -10,7 +10,9 @@
 from copperpass.core.scheduling.bin_packing.feasibility import (
     feasible_when_empty,
     fits_within,
+    is_zone_bound,
     slots_in,
+    tasks_by_zone,
     zone_choices,
     zone_feasible,
     zone_limit,
@@ -73,10 +75,11 @@
     """
     best: tuple[float, str, Machine] | None = None
     spec = job.spec
+    zone_counts = tasks_by_zone(job, machines) if is_zone_bound(spec) else {}
     for machine in usable:
         if not feasible_when_empty(spec, machine):
             continue
-        if not zone_feasible(job, machine.zone, machines):
+        if not zone_feasible(spec, machine.zone, zone_counts):
             continue
         if machine.is_reserved_for_other(spec.id, now):
             continue
@@ -89,9 +92,11 @@
 def _free_in_s(spec: JobSpec, machine: Machine, now: float) -> float:
     """Return in how many seconds a machine has capacity for a task that fits it when empty."""
     last_s = 0.0
-    for free_in_s, (cpus, gpus, memory) in _capacity_over_time(machine, now):
+    capacities = _capacity_over_time(machine, now)
+    for slots, (free_in_s, (cpus, gpus, memory)) in enumerate(capacities, machine.free_slots()):
         if (
-            fits_within(spec.cpus, cpus)
+            slots > 0
+            and fits_within(spec.cpus, cpus)
             and fits_within(spec.gpus, gpus)
             and fits_within(spec.memory_gb, memory)
         ):
@@ -115,7 +120,7 @@
     them: machines for the rest are to be provisioned in the same zones. `reserved_machines` are the
     on-demand machines reserved for jobs that may not use spot machines.
     """
-    spec, count = job.spec, len(job.pending_tasks())
+    spec, count = job.spec, job.pending_count()
     feasible = [
         machine
         for machine in usable
@@ -146,8 +151,9 @@
 ) -> list[FutureSlot]:
     """List a machine's slots for a job's tasks, up to `limit`, in the order they become free."""
     future: list[FutureSlot] = []
-    for free_in_s, capacity in _capacity_over_time(machine, now):
-        added = slots_in(spec, capacity, limit) - len(future)
+    capacities = _capacity_over_time(machine, now)
+    for slots, (free_in_s, capacity) in enumerate(capacities, machine.free_slots()):
+        added = slots_in(spec, capacity, min(limit, slots)) - len(future)
         future += [FutureSlot(free_in_s, unreserved, machine.name, machine)] * added
     return future
 
--- a/src/copperpass/core/scheduling/task_reconciliation.py
+++ b/src/copperpass/core/scheduling/task_reconciliation.py
@@ -24,7 +24,7 @@
     """
     if placement.reported:
         return True
-    if placement in machine.pending_starts:
+    if placement.key in machine.pending_starts:
         return False
     if placement.barrier_token:
         # The outcome of the start is unknown: only a worker that has since accepted this higher
@@ -69,14 +69,14 @@
             if placement is None:
                 placement = self._adopt(now, machine, key)
             self.task_statuses.update(now, machine, placement, task_status)
-        start_undelivered = False
-        for placement in list(machine.tasks.values()):
-            if placement.key not in listed and proves_absent(
-                machine, placement, heartbeat, unsolicited
-            ):
-                start_undelivered = start_undelivered or not placement.reported
-                self.tasks.remove(now, machine, placement)
-        if start_undelivered:
+        absent = [
+            placement
+            for placement in machine.tasks.values()
+            if placement.key not in listed
+            and proves_absent(machine, placement, heartbeat, unsolicited)
+        ]
+        self.tasks.remove_all(now, machine, absent)
+        if any(not placement.reported for placement in absent):
             self.commands.mark_unreachable(now, machine)
 
     def _adopt(self, now: float, machine: Machine, key: PlacementKey) -> Placement:
--- a/src/copperpass/core/scheduling/task_statuses.py
+++ b/src/copperpass/core/scheduling/task_statuses.py
@@ -107,7 +107,7 @@
 
     def _on_completed(self, now: float, machine: Machine, placement: Placement, job: Job) -> None:
         current = is_current(machine, placement, job)
-        if job.spec.gang:
+        if job.spec.gang and not job.all_completed():
             # The tasks of a gang complete together: if one has completed, all have. The machines of
             # the others may be lost before they report it, and none of the tasks could run again.
             job.unstored.update(i for i in range(job.spec.tasks) if not job.is_completed(i))
@@ -121,7 +121,7 @@
         else:
             job.unstored.add(placement.index)
             job.unstored_results.setdefault(placement.index, []).append(placement)
-            self.results.store(now, job)
+            self.results.store(now, job, None if job.spec.gang else placement.index)
 
     def _on_not_completed(
         self, now: float, machine: Machine, placement: Placement, job: Job
@@ -178,5 +178,4 @@
         for placement in machine.tasks.values():
             if placement.active and placement.stop_grace_s is None and not placement.running_at:
                 request_stop(placement, StopReason.FAULTY_MACHINE)
-        for placement in list(machine.pending_starts):
-            self.tasks.remove(now, machine, placement)
+        self.tasks.remove_all(now, machine, machine.pending_starts.values())
--- a/src/copperpass/core/scheduling/tasks.py
+++ b/src/copperpass/core/scheduling/tasks.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from copperpass.core.jobs.job import Job
 from copperpass.core.scheduling.commands import Commands
 from copperpass.core.scheduling.context import SchedulerContext
@@ -28,9 +30,9 @@
     that the worker has not forgotten yet would free the task of the active one.
     """
     return job.assigned.get(placement.index) == machine.name and not any(
-        other is not placement
+        other.index == placement.index
+        and other is not placement
         and other.active
-        and other.index == placement.index
         and other.job_id == placement.job_id
         for other in machine.tasks.values()
     )
@@ -85,10 +87,10 @@
         )
         machine.tasks[placement.key] = placement
         self.machines_of_job.setdefault(spec.id, set()).add(machine.name)
-        machine.pending_starts.append(placement)
+        machine.pending_starts[placement.key] = placement
         machine.idle_since = now
         machine.touch_image(spec.image, spec.image_gb)
-        self.quota_usage.recount(machine)
+        self.quota_usage.on_task_added(machine, placement)
         job.assigned[index] = machine.name
         self.state.recent_tasks[spec.team].append(
             TaskResources(spec.cpus, spec.gpus, spec.memory_gb)
@@ -96,16 +98,27 @@
 
     def remove(self, now: float, machine: Machine, placement: Placement) -> None:
         """Remove a task proven not to be on its machine, so that it may start elsewhere."""
+        self.remove_all(now, machine, [placement])
+
+    def remove_all(self, now: float, machine: Machine, placements: Iterable[Placement]) -> None:
+        """Remove tasks proven not to be on their machine; recounts the machine's usage once."""
+        removed = list(placements)
+        if not removed:
+            return
+        for placement in removed:
+            self._remove(now, machine, placement)
+        self.state.dirty = True
+        self.quota_usage.recount(machine)
+
+    def _remove(self, now: float, machine: Machine, placement: Placement) -> None:
+        """Remove one task; its resources still count until the machine's usage is recounted."""
         machine.tasks.pop(placement.key, None)
-        if placement in machine.pending_starts:
-            machine.pending_starts.remove(placement)
+        machine.pending_starts.pop(placement.key, None)
         job = self.jobs.jobs.get(placement.job_id)
         if job is not None and placement.active and is_current(machine, placement, job):
             job.requeue(placement.index)
             if job.spec.gang:
                 self._on_gang_task_lost(now, job, placement)
-        self.state.dirty = True
-        self.quota_usage.recount(machine)
 
     def _on_gang_task_lost(self, now: float, job: Job, placement: Placement) -> None:
         if job.gang_started and placement.attempt == job.attempt and not job.all_completed():
@@ -115,8 +128,7 @@
 
     def on_agent_epoch_ended(self, now: float, machine: Machine) -> None:
         """Remove all tasks of a machine whose agent epoch has ended."""
-        for placement in list(machine.tasks.values()):
-            self.remove(now, machine, placement)
+        self.remove_all(now, machine, machine.tasks.values())
         machine.pending_starts.clear()
         machine.images.clear()
         if machine.draining:
@@ -161,13 +173,15 @@
             machine = self.machines.get(name)
             if machine is None:
                 continue
-            for placement in list(machine.tasks.values()):
+            unsent: list[Placement] = []
+            for placement in machine.tasks.values():
                 if placement.job_id != job.spec.id or not placement.active:
                     continue
-                if placement in machine.pending_starts:
-                    self.remove(now, machine, placement)
+                if placement.key in machine.pending_starts:
+                    unsent.append(placement)
                 elif placement.stop_grace_s is None:
                     request_stop(placement, reason, grace_s)
+            self.remove_all(now, machine, unsent)
             self.commands.send(now, machine)
         job.finish_attempt()
 
@@ -178,16 +192,18 @@
             if machine is None:
                 continue
             affected = False
-            for placement in list(machine.tasks.values()):
+            unsent: list[Placement] = []
+            for placement in machine.tasks.values():
                 if placement.job_id != job.spec.id:
                     continue
                 affected = True
-                if placement in machine.pending_starts:
-                    self.remove(now, machine, placement)
+                if placement.key in machine.pending_starts:
+                    unsent.append(placement)
                 elif placement.active:
                     request_stop(placement, reason)
                 elif job.spec.id not in self.jobs.jobs:
                     placement.stored = True
+            self.remove_all(now, machine, unsent)
             if affected:
                 self.commands.send(now, machine)
 
--- a/src/copperpass/core/scheduling/victims.py
+++ b/src/copperpass/core/scheduling/victims.py
@@ -59,7 +59,9 @@
     For a gang, capacity for all its missing tasks is freed on one machine, if the machine can hold
     them. `over_guarantee` names the teams that use more than their guarantee.
     """
-    required = _required_capacity(preemptor.job, machine)
+    job = preemptor.job
+    count = job.pending_count() if job.spec.gang else 1
+    required = _required_capacity(job, machine, count)
     if required is None:
         return None
     candidates = _preemptible(preemptor, machine, jobs, over_guarantee)
@@ -67,28 +69,32 @@
         key=lambda placement: (placement.priority, cost_of_victim(placement, jobs, now))
     )
     cpus, gpus, memory = machine.free_capacity()
+    slots = machine.free_slots()
     for placement in machine.tasks.values():
         if placement.active and placement.stop_grace_s is not None:
             cpus, gpus = cpus + placement.cpus, gpus + placement.gpus
-            memory += placement.memory_gb
+            memory, slots = memory + placement.memory_gb, slots + 1
+
+    def is_enough() -> bool:
+        fits = cpus >= required[0] and gpus >= required[1] and memory >= required[2]
+        return fits and slots >= count
+
     chosen: list[Placement] = []
     for placement in candidates:
-        if cpus >= required[0] and gpus >= required[1] and memory >= required[2]:
+        if is_enough():
             break
         chosen.append(placement)
         cpus, gpus = cpus + placement.cpus, gpus + placement.gpus
-        memory += placement.memory_gb
-    enough = cpus >= required[0] and gpus >= required[1] and memory >= required[2]
-    return chosen if enough else None
+        memory, slots = memory + placement.memory_gb, slots + 1
+    return chosen if is_enough() else None
 
 
-def _required_capacity(job: Job, machine: Machine) -> tuple[float, float, float] | None:
-    """Return the CPUs, GPUs and GB of memory that must be free on a machine.
+def _required_capacity(job: Job, machine: Machine, count: int) -> tuple[float, float, float] | None:
+    """Return the CPUs, GPUs and GB of memory that must be free on a machine for `count` tasks.
 
     None if the machine can't take the job at all, even when empty.
     """
     spec, machine_type = job.spec, machine.type
-    count = len(job.pending_tasks()) if spec.gang else 1
     required = (spec.cpus * count, spec.gpus * count, spec.memory_gb * count)
     totals = (machine_type.cpus, machine_type.gpus, machine_type.memory_gb)
     if not all(fits_within(need, total) for need, total in zip(required, totals, strict=True)):
--- a/src/copperpass/core/storage/completion_segments.py
+++ b/src/copperpass/core/storage/completion_segments.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 
 from copperpass.core.jobs.completion_mask import split_segment
 from copperpass.core.jobs.job import Job
@@ -71,13 +71,12 @@
             pages.append(page)
         return pages
 
-    def mark_changed(self, now: float, job: Job) -> None:
-        """Mark the segments that contain unstored completions of a job as changed."""
-        changed_bytes = {index >> 3 for index in job.unstored}
+    def mark_changed(self, now: float, job: Job, indexes: Collection[int]) -> None:
+        """Mark the segments that contain the given completed tasks of a job as changed."""
         for page in self.pages_of.get(job.spec.id, ()):
             byte_range = page.byte_range or slice(0, 0)
             if page.changed_at is None and any(
-                byte_range.start <= byte < byte_range.stop for byte in changed_bytes
+                byte_range.start <= index >> 3 < byte_range.stop for index in indexes
             ):
                 page.changed_at = now
 
--- a/src/copperpass/core/storage/completions.py
+++ b/src/copperpass/core/storage/completions.py
@@ -99,20 +99,24 @@
         for page in list(layout.pages.values()):
             layout.split(page)
 
-    def record(self, now: float, job: Job) -> None:
-        """Schedule a write of the completions of a job that are not stored yet."""
+    def record(self, now: float, job: Job, index: int | None = None) -> None:
+        """Schedule a write of the completions of a job that are not stored yet.
+
+        `index`: the only completed task since the last call; None if there may be others.
+        """
         job_id, layout = job.spec.id, self.layout
         page = layout.page_of.get(job_id)
         if page is None and job_id not in self.segments.pages_of:
             too_large = max_entry_bytes(job) + EMPTY_PAGE_BYTES > self.max_page_bytes
             if job_id in self.segments.stored_keys or too_large:
                 self.segments.split_mask(job)
+                index = None
             else:
                 page = layout.choose_page(job)
                 layout.put(job, page)
         if page is not None and page.changed_at is None:
             page.changed_at = now
-        self.segments.mark_changed(now, job)
+        self.segments.mark_changed(now, job, job.unstored if index is None else (index,))
 
     def remove(self, job: Job) -> None:
         """Remove a completed job, whose completions need not be stored any more."""
--- a/src/copperpass/log_events.py
+++ b/src/copperpass/log_events.py
@@ -28,6 +28,8 @@
     FRAME_FAILED = "frame handling failed"
     WORKER_HEARTBEAT_FAILED = "worker heartbeat handling failed"
     CALL_COMPLETION_FAILED = "call completion failed"
+    # One input kept the only thread busy for longer than `SLOW_INPUT_RATIO` of a leader's lease.
+    INPUT_SLOW = "input handling slow"
 
     # Links between members.
     MALFORMED_FRAME = "malformed frame"
--- a/src/copperpass/net/service.py
+++ b/src/copperpass/net/service.py
@@ -27,6 +27,10 @@
 
 logger = logging.getLogger("copperpass")
 
+# An input whose handling takes longer than this fraction of the leader lease is logged: while it is
+# handled, no lease is renewed and nothing is answered.
+SLOW_INPUT_RATIO = 0.1
+
 
 class Service:
     """One running controller: owns its node, sockets and timers.
@@ -70,6 +74,7 @@
         }
         self.tick_interval_s = min(0.1, settings.cluster.workers.heartbeat_interval_s / 20)
         self.round_timer: Timer | None = None
+        self.slow_input_s = SLOW_INPUT_RATIO * self.node.timings.leader_ttl_s
 
     def start(self) -> None:
         """Listen, connect to the other members, and start the periodic tick."""
@@ -96,17 +101,21 @@
         self._run()
 
     def _run(self) -> None:
+        began_at = self.now()
         try:
-            self.node.tick(self.now())
+            self.node.tick(began_at)
         except Exception:
             logger.exception(LogEvent.TICK_FAILED)
+        self._log_if_slow("tick", began_at)
         self._flush_outbox()
 
     def _on_frame(self, sender: str, frame: Frame) -> None:
+        began_at = self.now()
         try:
-            self.node.on_frame(self.now(), sender, frame)
+            self.node.on_frame(began_at, sender, frame)
         except Exception:
             logger.exception(LogEvent.FRAME_FAILED)
+        self._log_if_slow(type(frame).__name__, began_at)
         self._flush_outbox()
 
     def _schedule_round(self) -> None:
@@ -124,13 +133,22 @@
 
     def worker_heartbeat(self, request: ApiRequest, body: bytes) -> None:
         """Handle a heartbeat; answers 503 on a fault: the worker then tries the next controller."""
+        began_at = self.now()
         try:
-            self.node.worker_heartbeat(self.now(), request, body)
+            self.node.worker_heartbeat(began_at, request, body)
         except Exception:
             logger.exception(LogEvent.WORKER_HEARTBEAT_FAILED)
             request.reply(503, b"{}")
+        self._log_if_slow("worker heartbeat", began_at)
         self._flush_outbox()
 
+    def _log_if_slow(self, kind: str, began_at: float) -> None:
+        """Log an input that took longer than `SLOW_INPUT_RATIO` of the leader lease to handle."""
+        elapsed_s = self.now() - began_at
+        if elapsed_s > self.slow_input_s:
+            fields: dict[str, object] = {"input": kind, "seconds": round(elapsed_s, 2)}
+            write(LogRecord(LogLevel.INFO, LogEvent.INPUT_SLOW, fields))
+
     def health(self) -> tuple[int, bytes]:
         """Return status and body for the load balancer's health check."""
         if self.node.healthy(self.now()):
--- a/src/copperpass/protocol/workers.py
+++ b/src/copperpass/protocol/workers.py
@@ -11,12 +11,19 @@
 import msgspec
 
 from copperpass.protocol.json_codec import encode
+from copperpass.protocol.users import MAX_BODY_BYTES
 
 HEARTBEAT_PATH = "/v1/report"
 COMMANDS_PATH = "/do"
 # A worker waits `HEARTBEAT_ANSWER_S` for the answer to a heartbeat. If none arrives, it waits
 # `NEXT_CONTROLLER_S` and then tries the next controller.
 HEARTBEAT_ANSWER_S, NEXT_CONTROLLER_S = 4.0, 1.0
+# Upper bound on a task's entry in a heartbeat and on a command, with the longest ids and causes.
+MAX_TASK_ENTRY_BYTES = 144
+# A heartbeat lists all tasks of its machine, and its answer may have a command for each of them.
+# Both are limited to `MAX_BODY_BYTES`, of which `MAX_HEADER_BYTES` are left for the other fields.
+MAX_HEADER_BYTES = 1024
+MAX_TASKS_PER_MACHINE = (MAX_BODY_BYTES - MAX_HEADER_BYTES) // MAX_TASK_ENTRY_BYTES
 
 
 class CommandKind(StrEnum):
--- a/tests/test_task_placement.py
+++ b/tests/test_task_placement.py
@@ -153,6 +153,7 @@
                 chosen.used_memory_gb += each.spec.memory_gb
                 chosen.images[each.spec.image] = each.spec.image_gb
                 each.assigned[index] = chosen.name
+                ranking.on_started(chosen)
                 started_on.append(chosen)
 
 
