Results of direct requests apply only to the machine state that they were sent for

Cause: Commands._on_done applied the answer to the Machine that the request had been sent to, also if the shard had removed it meanwhile. The listed tasks were assigned to a machine that nothing scans; a task of an unknown job put the machine's name among the unidentified, on which Demand.usage fails.

Change: the result is applied only if that state is still the machine's own (ShardState.owns: not ended, not removed, not assigned again); otherwise it is logged at debug as `late result ignored`. The cloud's confirmation has ended the machine's tasks, and a new assignment probes the machine itself, so nothing is lost by ignoring it.

--- a/src/copperpass/core/scheduling/commands.py
+++ b/src/copperpass/core/scheduling/commands.py
@@ -197,8 +197,17 @@
     def _on_done(self, now: float, machine: Machine, result: DirectResult) -> None:
         machine.command_in_flight = False
         self.requests_in_flight -= 1
-        if not self.state.ended:
+        if self.state.owns(machine):
             self.on_result(now, machine, result)
+            return
+        # The machine's tasks are proven gone, or another owner knows them. Tasks that the answer
+        # lists would be assigned to a machine that the shard doesn't have.
+        self.context.outbox.log(
+            LogLevel.DEBUG,
+            LogEvent.LATE_RESULT_IGNORED,
+            machine=machine.name,
+            status=result.outcome.status,
+        )
 
     def probe(self, now: float) -> None:
         """Request the status of unreconciled machines, without waiting for their heartbeats.
--- a/src/copperpass/core/scheduling/state.py
+++ b/src/copperpass/core/scheduling/state.py
@@ -72,6 +72,13 @@
         }
         self.last_heartbeat_at = now
 
+    def owns(self, machine: Machine) -> bool:
+        """Whether this is the state of a machine that the shard owns now.
+
+        It is not if the machine has been released or deleted, or assigned again under a new token.
+        """
+        return not self.ended and self.machines.get(machine.name) is machine
+
     def own_jobs(self) -> list[Job]:
         """Return the known jobs of this shard's teams."""
         teams_by_name = self.teams_by_name
--- a/src/copperpass/log_events.py
+++ b/src/copperpass/log_events.py
@@ -47,6 +47,8 @@
     INVENTORY_MIGRATED = "inventory migrated"
     WORKER_LEASE_EXPIRED = "worker lease expired"
     COMMANDS_UNACKNOWLEDGED = "commands unacknowledged"
+    # The result of a direct request arrived after the machine was released, deleted or reassigned.
+    LATE_RESULT_IGNORED = "late result ignored"
     MACHINE_QUARANTINED = "machine quarantined"
     MACHINE_DELETION_REQUESTED = "machine deletion requested"
 
