A drained machine whose agent epoch ends is released once

What callers saw: in a deployment with two shards, the heartbeat of a drained machine in a new agent epoch got 503 once, and the log had a KeyError; a route that said that the machine had failed and was reclaimed had the same effect on the owner, and skipped the routes after it in the frame.

Cause: like the late answer of a deleted machine, an object that was removed in the middle of its handling was used as if the shard still had it: TaskLifecycle.on_agent_epoch_ended released the machine, and the rest of the same heartbeat or route released it again. The first release also happened before the tasks in the new epoch's heartbeat had been looked at.

Change: the end of an epoch no longer releases. Its three callers do it once, last: the heartbeat after all tasks are applied, the route of a failed machine, and the scan for expired leases.

--- a/src/copperpass/core/scheduling/heartbeat_timeouts.py
+++ b/src/copperpass/core/scheduling/heartbeat_timeouts.py
@@ -68,6 +68,8 @@
                 self.outbox.log(LogLevel.INFO, LogEvent.WORKER_LEASE_EXPIRED, machine=machine.name)
                 state.unreconciled.discard(machine.name)
                 self.tasks.on_agent_epoch_ended(now, machine)
+                if machine.draining and state.release_if_empty(machine):
+                    continue
             if machine.deletion_requested:
                 continue
             reason = self._deletion_reason(now, machine, expired, unresponsive)
--- a/src/copperpass/core/scheduling/ownership.py
+++ b/src/copperpass/core/scheduling/ownership.py
@@ -56,6 +56,8 @@
             machine.failed = True
             state.unreconciled.discard(name)
             self.tasks.on_agent_epoch_ended(now, machine)
+            if machine.draining and state.release_if_empty(machine):
+                return
         if route.reclaim_requested:
             self._release_or_drain(now, machine, route.drain)
 
@@ -117,7 +119,6 @@
 
     def _on_machine_deleted(self, now: float, machine: Machine) -> None:
         """Remove a machine, and all tasks on it, after the cloud has confirmed its deletion."""
-        machine.draining = False
         self.state.unreconciled.discard(machine.name)
         self.tasks.on_agent_epoch_ended(now, machine)
         self.state.quota_usage.drop(machine)
--- a/src/copperpass/core/scheduling/tasks.py
+++ b/src/copperpass/core/scheduling/tasks.py
@@ -131,8 +131,6 @@
         self.remove_all(now, machine, machine.tasks.values())
         machine.pending_starts.clear()
         machine.images.clear()
-        if machine.draining:
-            self.state.release_if_empty(machine)
 
     def stop(
         self, now: float, placement: Placement, reason: StopReason, checkpoint: bool = True
--- a/tests/test_late_results.py
+++ b/tests/test_late_results.py
@@ -54,6 +54,35 @@
     assert bench.job.assigned == {}
 
 
+@pytest.mark.parametrize("event", ["failed", "failed and reclaimed", "agent epoch", "lease"])
+def test_drained_machine_is_released_once_when_its_tasks_end_with_it(event):
+    # Guards against a machine that is released twice, by the end of its agent epoch and again by
+    # the same heartbeat or route: a `KeyError`, and a heartbeat that is not answered with 200.
+    bench = SchedulerBench()
+    call, attempt = bench.start_tasks()
+    running = [("req-000001/0", attempt, "running", None)]
+    call.on_done(bench.now, answer_of(bench, running))
+    bench.sequence += 1
+    drain = dataclasses.replace(bench.route, reclaim_requested=True, drain=True)
+    bench.scheduler.on_route(bench.now, drain)
+    for stop in bench.take_calls("worker"):
+        stop.on_done(bench.now, CallOutcome(0))
+    bench.scheduler.machines["m-1"].unreachable_since = None
+    assert bench.scheduler.machines["m-1"].draining
+    if event == "agent epoch":
+        assert bench.worker_heartbeat([], agent_epoch=2, sequence=1) is not None
+    elif event == "lease":
+        bench.now += 2 * bench.scheduler.timing.lease_s
+        bench.scheduler.scan(bench.now)
+    else:
+        reclaimed = event == "failed and reclaimed"
+        route = dataclasses.replace(drain, failed=True, reclaim_requested=reclaimed)
+        bench.scheduler.on_route(bench.now, route)
+    assert "m-1" not in bench.scheduler.machines
+    assert [status.name for status in bench.scheduler.statuses(bench.now)] == ["m-1"]
+    assert bench.job.assigned == {}
+
+
 @pytest.mark.parametrize("cancelled_jobs", [1, 2])
 @pytest.mark.parametrize("partitioned", [False, True])
 def test_scheduling_goes_on_when_a_deleted_machines_answer_arrives_late(
