Confirmations: no notices for cancellations that all members know, none repeated to earlier versions

A cancellation known for longer than any authority on an older watch cache lasts is now told at once. Notices are repeated only to connected members that can acknowledge them; an earlier version, which can't, would have sent its stops again with each. A dispatch round that is due while no tasks may be started is tried again after 0.1 s and not every 10 ms.

test_polls_of_jobs_cancelled_long_ago_are_answered_at_once_and_cause_no_notices fails without the first change. In test_a_cancellation_is_announced_only_to_upgraded_members the leader that isn't upgraded now also sends the heartbeats of such a version.

--- a/src/copperpass/core/cancellations/confirmations.py
+++ b/src/copperpass/core/cancellations/confirmations.py
@@ -65,8 +65,9 @@
 
     `possible_starters`: the other members that may start tasks and may not know of what was stored
     at a given revision. `apply`: marks a job as cancelled on this member and stops its tasks.
-    `knows_notices`: whether a member is proven to know `JobCancelled`. `synced_revision`: the
-    revision of the complete listing with which the watch cache began; None before it.
+    `knows_notices`: whether a member is proven to know `JobCancelled`. `can_acknowledge`: whether a
+    member is connected and knows the other frames. `synced_revision`: the revision of the complete
+    listing with which the watch cache began; None before it.
     """
 
     timings: CancellationTimings
@@ -75,6 +76,7 @@
     possible_starters: Callable[[int], Iterable[str]]
     apply: Callable[[float, str], None]
     knows_notices: Callable[[str], bool]
+    can_acknowledge: Callable[[float, str], bool]
     synced_revision: Callable[[], int | None]
 
 
@@ -98,8 +100,9 @@
 
         May call it before returning.
         """
-        job_id = cancellation.job_id
-        if job_id in self.confirmed:
+        job_id, timings = cancellation.job_id, self.context.timings
+        known_to_all = now >= cancellation.known_since + timings.forget_after_s
+        if known_to_all or job_id in self.confirmed:
             on_done(now, True)
             return
         confirmation = self.confirmations.get(job_id) or self._begin(now, cancellation)
@@ -121,13 +124,12 @@
         )
         if confirmation.unacknowledged:
             self.confirmations[job_id] = confirmation
-            self._notify(confirmation)
+            self._notify(job_id, filter(context.knows_notices, confirmation.unacknowledged))
         return confirmation
 
-    def _notify(self, confirmation: Confirmation) -> None:
-        for member in sorted(confirmation.unacknowledged):
-            if self.context.knows_notices(member):
-                self.context.outbox.send(member, JobCancelled(confirmation.cancellation.job_id))
+    def _notify(self, job_id: str, members: Iterable[str]) -> None:
+        for member in sorted(members):
+            self.context.outbox.send(member, JobCancelled(job_id))
 
     def _may_tell(self, now: float, confirmation: Confirmation) -> bool:
         """Whether no other member starts tasks of the job any more."""
@@ -189,7 +191,12 @@
         due = (entry for entry in self.confirmations.values() if now >= entry.next_notice_at)
         for confirmation in list(islice(due, MAX_REPEATED_NOTICES)):
             confirmation.next_notice_at = now + self.context.timings.permit_s / 2
-            self._notify(confirmation)
+            reachable = [
+                member
+                for member in confirmation.unacknowledged
+                if self.context.can_acknowledge(now, member)
+            ]
+            self._notify(confirmation.cancellation.job_id, reachable)
 
     # -- start permits --------------------------------------------------------------------------
 
--- a/src/copperpass/core/node/node.py
+++ b/src/copperpass/core/node/node.py
@@ -176,6 +176,7 @@
                 possible_starters=self._possible_starters,
                 apply=self.cancelled_jobs.apply,
                 knows_notices=self.is_upgraded,
+                can_acknowledge=self.peer_heartbeats.knows_start_permits,
                 synced_revision=lambda: self.watch_cache.first_list_revision,
             )
         )
--- a/src/copperpass/core/scheduling/dispatcher.py
+++ b/src/copperpass/core/scheduling/dispatcher.py
@@ -16,6 +16,8 @@
 
 # The pause before the next round: its minimum, and what each queued job adds.
 MIN_PAUSE_S, PAUSE_PER_JOB_S = 0.01, 0.002
+# The pause before a round that is due is tried again while no tasks may be started.
+POSTPONED_ROUND_S = 0.1
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -47,6 +49,10 @@
         self.urgent_jobs: set[str] = set()
         self.next_round_at = now
 
+    def postpone(self, now: float) -> None:
+        """Try again shortly, because no tasks may be started now."""
+        self.next_round_at = now + POSTPONED_ROUND_S
+
     def run_round(self, now: float) -> None:
         """Start pending tasks; preempt running ones for jobs that would miss their deadline."""
         state = self.state
--- a/src/copperpass/core/scheduling/shard_scheduler.py
+++ b/src/copperpass/core/scheduling/shard_scheduler.py
@@ -136,9 +136,11 @@
         if self.unreconciled:
             self.commands.probe(now)
         self.completions.tick(now)
-        round_due = self.state.dirty and now >= self.dispatcher.next_round_at
-        if round_due and self.context.may_start(now):
-            self.dispatch_round(now)
+        if self.state.dirty and now >= self.dispatcher.next_round_at:
+            if self.context.may_start(now):
+                self.dispatch_round(now)
+            else:
+                self.dispatcher.postpone(now)
 
     def scan(self, now: float) -> None:
         """Check for expired worker leases, unresponsive machines and unstored completions."""
--- a/tests/test_confirmed_cancellations.py
+++ b/tests/test_confirmed_cancellations.py
@@ -140,6 +140,24 @@
     simulation.finish(900.0)
 
 
+@PARTITIONED_AND_NOT
+def test_polls_of_jobs_cancelled_long_ago_are_answered_at_once_and_cause_no_notices(partitioned):
+    # Guards against frames, and marks of cancelled jobs, for each poll of a job that all members
+    # have known as cancelled for long; also while a controller is down.
+    simulation = busy_simulation(partitioned=partitioned)
+    confirm_cancellations(simulation, simulation.node_names)
+    run_checked(simulation, simulation.cancel_s)
+    down, *others = simulation.node_names
+    simulation.crash(down, 30.0)
+    simulation.run(5.0)
+    marked = {name: len(simulation.nodes[name].jobs.cancelled) for name in others}
+    polls = [simulation.poll("req-000001", name) for name in others]
+    simulation.run(0.3)
+    assert [poll.body["status"] for poll in polls] == [JobState.CANCELLED] * 2
+    assert not any(simulation.nodes[name].confirmations.confirmations for name in others)
+    assert marked == {name: len(simulation.nodes[name].jobs.cancelled) for name in others}
+
+
 # -- a model of one member that confirms cancellations and one that starts tasks
 
 
@@ -173,6 +191,7 @@
                 possible_starters=lambda revision: ["starter"],
                 apply=lambda now, job_id: None,
                 knows_notices=lambda member: True,
+                can_acknowledge=lambda now, member: True,
                 synced_revision=lambda: 0,
             )
         )
--- a/tests/test_watch_cache_age.py
+++ b/tests/test_watch_cache_age.py
@@ -1,10 +1,12 @@
 """Controllers whose watch cache is outdated, which must not command workers."""
 
+from dataclasses import replace
+
 import pytest
 
 from copperpass.core.election.leader_election import LeaderElection
 from copperpass.core.membership.peer_heartbeats import PeerHeartbeats
-from copperpass.protocol.frames.messages import JobCancelled
+from copperpass.protocol.frames.messages import JobCancelled, MemberHeartbeat
 from tests.request_bodies import job
 from tests.scenarios import present_task_count
 from tests.simulation import Simulation
@@ -161,11 +163,17 @@
     leader = simulation.leader()
     canceller, other = [n for n in simulation.node_names if n != leader]
     deliver = simulation.receive_frame
-    simulation.receive_frame = lambda sender, member, frame: (
-        announced.append((sender, member))
-        if isinstance(frame, JobCancelled)
-        else deliver(sender, member, frame)
-    )
+
+    def receive_frame(sender, member, frame):
+        if isinstance(frame, JobCancelled):
+            announced.append((sender, member))
+        elif isinstance(frame, MemberHeartbeat) and sender == leader:
+            deliver(sender, member, replace(frame, knows_start_permits=False))
+        else:
+            deliver(sender, member, frame)
+
+    simulation.receive_frame = receive_frame
+    simulation.run(1.0)
     registry = simulation.nodes[canceller].version_registry
     registry.upgraded.discard(leader)
     registry._next_read_at = float("inf")
