Small tasks leave half of a machine's slots to tasks whose resources are free

The bound on the tasks of a machine (64 KiB of its heartbeat) opened a gap: an array of small tasks that run for long could take all 448 slots of every machine, and a usual job would have waited beside free CPUs and memory. Tasks of which more than 224 would fit an empty machine now take at most 224 slots, and of all other tasks at most 224 fit by their resources, so these always find a slot.

test_small_tasks_leave_slots_for_tasks_whose_resources_are_free fails without it (448 tasks on the machine, none left).

--- a/src/copperpass/core/autoscaling/free_capacity.py
+++ b/src/copperpass/core/autoscaling/free_capacity.py
@@ -9,6 +9,7 @@
 from copperpass.core.scheduling.bin_packing.feasibility import (
     CAPACITY_TOLERANCE,
     satisfies_constraints,
+    usable_slots,
 )
 from copperpass.core.scheduling.machines import Machine
 from copperpass.core.scheduling.task_estimates import remaining_s
@@ -55,7 +56,7 @@
                 gpus += released_gpus
                 memory_gb += released_memory_gb
         # Inlined from `slots_in` for speed: this runs for each pending job and each machine.
-        tasks = min(limit, tasks)
+        tasks = min(limit, usable_slots(spec, self.machine_type, tasks))
         for needed, free in ((spec.cpus, cpus), (spec.gpus, gpus), (spec.memory_gb, memory_gb)):
             if needed > 0:
                 tasks = min(tasks, int((free + CAPACITY_TOLERANCE) / needed))
--- a/src/copperpass/core/scheduling/bin_packing/feasibility.py
+++ b/src/copperpass/core/scheduling/bin_packing/feasibility.py
@@ -11,6 +11,7 @@
 from copperpass.core.jobs.job import Job
 from copperpass.protocol.cloud import MachineType
 from copperpass.protocol.users import JobSpec
+from copperpass.protocol.workers import MAX_TASKS_PER_MACHINE
 
 if TYPE_CHECKING:
     # `machines` imports this module: importing it at run time would be circular.
@@ -18,6 +19,8 @@
 
 # The rounding error that sums of decimal fractions may have.
 CAPACITY_TOLERANCE = 1e-6
+# The most slots of a machine that tasks may take of which more would fit.
+SMALL_TASK_SLOTS = MAX_TASKS_PER_MACHINE // 2
 # The zone counted for a task whose machine is not known.
 UNKNOWN_ZONE = "?"
 
@@ -61,6 +64,22 @@
     return max(0, count)
 
 
+def is_small(spec: JobSpec, machine_type: MachineType) -> bool:
+    """Whether more of a job's tasks would fit an empty machine than small tasks may take slots."""
+    capacity = (machine_type.cpus, machine_type.gpus, machine_type.memory_gb)
+    return slots_in(spec, capacity, MAX_TASKS_PER_MACHINE) > SMALL_TASK_SLOTS
+
+
+def usable_slots(spec: JobSpec, machine_type: MachineType, free_slots: int) -> int:
+    """Return how many of a machine's free slots a job's tasks may take.
+
+    Small tasks leave the other slots free. So other tasks find a slot wherever their resources are
+    free, however many small tasks there are.
+    """
+    reserved = MAX_TASKS_PER_MACHINE - SMALL_TASK_SLOTS
+    return free_slots - reserved if is_small(spec, machine_type) else free_slots
+
+
 def tasks_by_zone(job: Job, machines: dict[str, Machine]) -> dict[str, int]:
     """Count a job's placed tasks by zone."""
     counts: dict[str, int] = {}
--- a/src/copperpass/core/scheduling/bin_packing/gang_placement.py
+++ b/src/copperpass/core/scheduling/bin_packing/gang_placement.py
@@ -103,7 +103,7 @@
         (
             score,
             machine,
-            slots_in(job.spec, machine.free_capacity(), min(count, machine.free_slots())),
+            slots_in(job.spec, machine.free_capacity(), min(count, machine.usable_slots(job.spec))),
         )
         for score, machine in scored
     ]
--- a/src/copperpass/core/scheduling/demand.py
+++ b/src/copperpass/core/scheduling/demand.py
@@ -13,6 +13,7 @@
 from copperpass.core.scheduling import allocation
 from copperpass.core.scheduling.bin_packing.feasibility import (
     CAPACITY_TOLERANCE,
+    SMALL_TASK_SLOTS,
     feasible_on_type,
     satisfies_constraints,
 )
@@ -24,7 +25,6 @@
 from copperpass.core.scheduling.task_statuses import MIN_MACHINES_OF_FAULTY_JOB
 from copperpass.protocol.frames.messages import PendingTasks
 from copperpass.protocol.users import JobSpec
-from copperpass.protocol.workers import MAX_TASKS_PER_MACHINE
 
 # A machine's type, its zone, and whether it is a spot machine.
 MachineKind = tuple[str, str, bool]
@@ -114,7 +114,7 @@
             count = int(min(count, allowed))
         elif not spec.gang:
             # No limit applies to tasks without CPUs. One machine at a time is requested for them.
-            count = min(count, MAX_TASKS_PER_MACHINE)
+            count = min(count, SMALL_TASK_SLOTS)
         return count
 
     def usage(self) -> dict[str, ResourceUsage]:
--- a/src/copperpass/core/scheduling/machines.py
+++ b/src/copperpass/core/scheduling/machines.py
@@ -5,7 +5,11 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from copperpass.core.scheduling.bin_packing.feasibility import fits_within
+from copperpass.core.scheduling.bin_packing.feasibility import (
+    SMALL_TASK_SLOTS,
+    fits_within,
+    usable_slots,
+)
 from copperpass.core.scheduling.placements import UNIDENTIFIED, Placement, PlacementKey
 from copperpass.protocol.cloud import MachineType
 from copperpass.protocol.frames.messages import MachineStatus
@@ -98,6 +102,10 @@
         """Return how many more tasks its heartbeats and commands have room for."""
         return MAX_TASKS_PER_MACHINE - len(self.tasks)
 
+    def usable_slots(self, spec: JobSpec) -> int:
+        """Return how many of the free slots a job's tasks may take."""
+        return usable_slots(spec, self.type, self.free_slots())
+
     def add_usage(self, placement: Placement) -> None:
         """Add a task that has just been added as the last one to the usage totals.
 
@@ -148,7 +156,8 @@
         """Whether a task of the job fits into the capacity that is free now."""
         machine_type = self.type
         return (
-            self.free_slots() > 0
+            # Small tasks matter only on a machine with many tasks.
+            (len(self.tasks) < SMALL_TASK_SLOTS or self.usable_slots(spec) > 0)
             and fits_within(spec.cpus, machine_type.cpus - self.used_cpus)
             and fits_within(spec.memory_gb, machine_type.memory_gb - self.used_memory_gb)
             and fits_within(spec.gpus, machine_type.gpus - self.used_gpus)
--- a/src/copperpass/core/scheduling/reservation_planning.py
+++ b/src/copperpass/core/scheduling/reservation_planning.py
@@ -93,7 +93,9 @@
     """Return in how many seconds a machine has capacity for a task that fits it when empty."""
     last_s = 0.0
     capacities = _capacity_over_time(machine, now)
-    for slots, (free_in_s, (cpus, gpus, memory)) in enumerate(capacities, machine.free_slots()):
+    for slots, (free_in_s, (cpus, gpus, memory)) in enumerate(
+        capacities, machine.usable_slots(spec)
+    ):
         if (
             slots > 0
             and fits_within(spec.cpus, cpus)
@@ -152,8 +154,8 @@
     """List a machine's slots for a job's tasks, up to `limit`, in the order they become free."""
     future: list[FutureSlot] = []
     capacities = _capacity_over_time(machine, now)
-    for slots, (free_in_s, capacity) in enumerate(capacities, machine.free_slots()):
-        added = slots_in(spec, capacity, min(limit, slots)) - len(future)
+    for slots, (free_in_s, capacity) in enumerate(capacities, machine.usable_slots(spec)):
+        added = slots_in(spec, capacity, min(limit, max(0, slots))) - len(future)
         future += [FutureSlot(free_in_s, unreserved, machine.name, machine)] * added
     return future
 
--- a/src/copperpass/core/scheduling/victims.py
+++ b/src/copperpass/core/scheduling/victims.py
@@ -5,7 +5,11 @@
 from dataclasses import dataclass
 
 from copperpass.core.jobs.job import Job
-from copperpass.core.scheduling.bin_packing.feasibility import fits_within, satisfies_constraints
+from copperpass.core.scheduling.bin_packing.feasibility import (
+    fits_within,
+    is_small,
+    satisfies_constraints,
+)
 from copperpass.core.scheduling.machines import Machine
 from copperpass.core.scheduling.placements import Placement
 from copperpass.core.scheduling.task_estimates import preemption_cost
@@ -69,24 +73,24 @@
         key=lambda placement: (placement.priority, cost_of_victim(placement, jobs, now))
     )
     cpus, gpus, memory = machine.free_capacity()
-    slots = machine.free_slots()
+    slots = machine.usable_slots(job.spec)
     for placement in machine.tasks.values():
         if placement.active and placement.stop_grace_s is not None:
             cpus, gpus = cpus + placement.cpus, gpus + placement.gpus
             memory, slots = memory + placement.memory_gb, slots + 1
 
-    def is_enough() -> bool:
-        fits = cpus >= required[0] and gpus >= required[1] and memory >= required[2]
-        return fits and slots >= count
-
+    if slots < count and is_small(job.spec, machine.type):
+        # Tasks are not stopped for slots, which other tasks have wherever their resources are free.
+        return None
     chosen: list[Placement] = []
     for placement in candidates:
-        if is_enough():
+        if cpus >= required[0] and gpus >= required[1] and memory >= required[2]:
             break
         chosen.append(placement)
         cpus, gpus = cpus + placement.cpus, gpus + placement.gpus
-        memory, slots = memory + placement.memory_gb, slots + 1
-    return chosen if is_enough() else None
+        memory += placement.memory_gb
+    enough = cpus >= required[0] and gpus >= required[1] and memory >= required[2]
+    return chosen if enough else None
 
 
 def _required_capacity(job: Job, machine: Machine, count: int) -> tuple[float, float, float] | None:
--- a/tests/test_many_small_tasks.py
+++ b/tests/test_many_small_tasks.py
@@ -8,6 +8,7 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from copperpass import settings as settings_module
+from copperpass.core.scheduling.bin_packing.feasibility import SMALL_TASK_SLOTS
 from copperpass.log_events import LogEvent
 from copperpass.net.service import Service
 from copperpass.protocol.users import MAX_BODY_BYTES, MAX_TASKS
@@ -101,6 +102,25 @@
     assert elapsed_s < leader_ttl_s / 10
 
 
+@AMOUNTS
+def test_small_tasks_leave_slots_for_tasks_whose_resources_are_free(amounts):
+    # Guards against small tasks that run for long and take all slots: a usual job would wait beside
+    # a machine with free resources.
+    bench = bench_with_job(MAX_TASKS, amounts)
+    for _ in range(4):
+        bench.scheduler.dispatch_round(bench.now)
+        bench.worker_heartbeat(listed_tasks(bench))
+    machine = bench.scheduler.machines["m-1"]
+    assert len(machine.tasks) == SMALL_TASK_SLOTS
+    cpus = machine.type.cpus / SMALL_TASK_SLOTS
+    usual = {"spec": job(2, tasks=SMALL_TASK_SLOTS, cpus=cpus, memory_gb=0.0)}
+    bench.jobs.on_watch_event(bench.now, "c/live/req-000002", json.dumps(usual).encode(), 71)
+    fitting = int(machine.free_capacity()[0] / cpus)
+    bench.scheduler.dispatch_round(bench.now)
+    assert len(bench.jobs.jobs["req-000002"].assigned) >= fitting > 100
+    bench.scheduler.capacity_requests(bench.now)
+
+
 @pytest.mark.parametrize("partitioned", [False, True])
 def test_usual_jobs_are_served_beside_100000_tasks_without_amounts(partitioned):
     # Guards against one accepted job that keeps all others from being answered and served.
