--- a/src/copperpass/core/node/node.py
+++ b/src/copperpass/core/node/node.py
@@ -72,6 +72,8 @@
         self._create_storage(wall_clock_offset)
         self._create_election(now)
         self._create_term_components(now)
+        self._create_cancellations()
+        self._create_user_api()
         self._create_routers()
 
     def _create_storage(self, wall_clock_offset: float) -> None:
@@ -118,7 +120,7 @@
         self.isolation = IsolationMonitor(self.election, self.peer_heartbeats, self.cluster.workers)
 
     def _create_term_components(self, now: float) -> None:
-        """Create what this member runs in a term as leader or shard owner, and the user API."""
+        """Create what this member runs in a term as leader or shard owner."""
         self.grant_client = GrantClient(
             GrantClientContext(
                 member=self.settings.name,
@@ -147,20 +149,6 @@
         self.running_counts = RunningCountExchange(
             self.election.peers, self.jobs, self.shard_by_team, self.grant_client, self.outbox, now
         )
-        self._create_cancellations()
-        self.user_api = UserApi(
-            ApiContext(
-                cluster=self.cluster,
-                outbox=self.outbox,
-                transactions=self.transactions,
-                read_timeout_s=API_READ_TIMEOUT_S,
-                wall_clock_offset=self.jobs.wall_clock_offset,
-                types=self.machine_types.types,
-                task_counts=self.running_counts.counts_of,
-                confirm_cancellation=self.confirmations.confirm,
-                watch_progress=self.watch_cache,
-            )
-        )
 
     def _create_cancellations(self) -> None:
         """Create what keeps tasks of a job from starting once its cancellation is confirmed."""
@@ -192,6 +180,22 @@
             )
         )
 
+    def _create_user_api(self) -> None:
+        """Create the user API; its answers need what the other components know."""
+        self.user_api = UserApi(
+            ApiContext(
+                cluster=self.cluster,
+                outbox=self.outbox,
+                transactions=self.transactions,
+                read_timeout_s=API_READ_TIMEOUT_S,
+                wall_clock_offset=self.jobs.wall_clock_offset,
+                types=self.machine_types.types,
+                task_counts=self.running_counts.counts_of,
+                confirm_cancellation=self.confirmations.confirm,
+                watch_progress=self.watch_cache,
+            )
+        )
+
     def _create_routers(self) -> None:
         """Create the routers that pass inputs to the other components."""
         workers = self.cluster.workers
