Users whose cancellation is not confirmed yet are told at once when to come back

Cause: a request for a job whose cancellation isn't confirmed yet was held for up to 4 s. Load balancers prefer members with few open connections, so they sent more submissions to the member that was cut off and answered 503.

Change: such a request waits for 0.5 s, in which connected members acknowledge, and then gets 503 with the rest of the wait as Retry-After.

--- a/src/copperpass/core/api/cancellations.py
+++ b/src/copperpass/core/api/cancellations.py
@@ -4,7 +4,7 @@
 
 from copperpass.core.api.context import ApiContext
 from copperpass.core.api.job_lookup import JobLookup, StoredJob
-from copperpass.core.api.responses import CONFIRMATION_S, Responder
+from copperpass.core.api.responses import Responder
 from copperpass.core.api.validation import is_job_id
 from copperpass.core.kvstore.keys import COMPLETED_JOBS_PREFIX, LIVE_JOBS_PREFIX
 from copperpass.core.kvstore.operations import Operation, Priority, TransactionOutcome
@@ -32,7 +32,7 @@
 
         def on_found(now: float, stored: StoredJob | None) -> None:
             if stored is None or stored.record.final_state:
-                self.responder.job_state(now, request, job_id, stored, CONFIRMATION_S)
+                self.responder.job_state(now, request, job_id, stored)
             else:
                 self._store(now, request, job_id, stored.version, attempts_left)
 
@@ -52,7 +52,7 @@
                 record = JobRecord(final_state=JobState.CANCELLED, completed_count=completed_count)
                 terminal = StoredJob(record, revision)
                 self.lookup.remember(job_id, terminal)
-                self.responder.job_state(now, request, job_id, terminal, CONFIRMATION_S)
+                self.responder.job_state(now, request, job_id, terminal)
             elif outcome is TransactionOutcome.CONFLICT and attempts_left > 1:
                 # The record has another version: a task of the job was completed in between.
                 self.cancel(now, request, job_id, attempts_left - 1)
--- a/src/copperpass/core/api/context.py
+++ b/src/copperpass/core/api/context.py
@@ -34,7 +34,8 @@
     ) -> None:
         """Stop the job's tasks, here and on other members that may start some.
 
-        Calls `on_done` with True once the user may be told, or with False at the deadline.
+        Calls `on_done` with 0 once the user may be told, or at the deadline with the seconds until
+        the user may be told at the latest.
         """
 
 
--- a/src/copperpass/core/api/polls.py
+++ b/src/copperpass/core/api/polls.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from copperpass.core.api.job_lookup import JobLookup, StoredJob
-from copperpass.core.api.responses import POLL_CONFIRMATION_S, Responder
+from copperpass.core.api.responses import Responder
 from copperpass.core.api.validation import is_job_id
 
 
@@ -20,7 +20,7 @@
             return
 
         def on_found(now: float, stored: StoredJob | None) -> None:
-            self.responder.job_state(now, request, job_id, stored, POLL_CONFIRMATION_S)
+            self.responder.job_state(now, request, job_id, stored)
 
         def on_failed(now: float) -> None:
             self.responder.unavailable(request, "state service not reached")
--- a/src/copperpass/core/api/responses.py
+++ b/src/copperpass/core/api/responses.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from copperpass.core.api.context import ApiContext
 from copperpass.core.api.job_lookup import JobLookup, StoredJob
 from copperpass.core.api.validation import UNAVAILABLE
@@ -14,9 +16,10 @@
 
 # Seconds until a user should repeat a request that could not be decided (`Retry-After`).
 RETRY_AFTER_S = 1
-# How long a request may wait for the confirmation of a cancellation. Users wait 2 s for the answer
-# to a poll and 5 s for that to any other request.
-POLL_CONFIRMATION_S, CONFIRMATION_S = 1.6, 4.0
+# How long a request waits for the confirmation of a cancellation. The acknowledgements of connected
+# members arrive sooner. Whoever would have to wait longer is told when to come back: load balancers
+# prefer members with few open requests, which here would be those that are cut off.
+CONFIRMATION_S = 0.5
 
 
 class Responder:
@@ -30,35 +33,32 @@
         """Answer a submission that has been stored."""
         self._reply(request, 201, encode(JobAnswer(job_id, JobState.QUEUED)))
 
-    def job_state(
-        self, now: float, request: object, job_id: str, job: StoredJob | None, timeout_s: float
-    ) -> None:
+    def job_state(self, now: float, request: object, job_id: str, job: StoredJob | None) -> None:
         """Answer with the state of a job by its record; 404 if `job` is None.
 
         A cancelled job is answered only once its cancellation is confirmed, or with 503 if that
-        takes longer than `timeout_s` seconds.
+        takes longer than `CONFIRMATION_S`.
         """
         if job is None:
             self.not_found(request)
         elif job.record.final_state == JobState.CANCELLED:
-            self._cancelled(now, request, job_id, job, now + timeout_s)
+            self._cancelled(now, request, job_id, job)
         else:
             self._state_of(request, job_id, job.record)
 
-    def _cancelled(
-        self, now: float, request: object, job_id: str, job: StoredJob, deadline: float
-    ) -> None:
+    def _cancelled(self, now: float, request: object, job_id: str, job: StoredJob) -> None:
         """Answer that a job is cancelled, once no member can start tasks of it any more."""
 
-        def on_done(now: float, confirmed: bool) -> None:
-            if confirmed:
+        def on_done(now: float, remaining_s: float) -> None:
+            if remaining_s <= 0.0:
                 self._state_of(request, job_id, job.record)
             else:
-                self.unavailable(request, "cancellation not confirmed yet")
+                retry_after_s = math.ceil(remaining_s)
+                self.unavailable(request, "cancellation not confirmed yet", retry_after_s)
 
         known_since = self.lookup.removal_known_since(now, job_id, job.version)
         cancellation = StoredCancellation(job_id, job.version, known_since)
-        self.context.confirm_cancellation(now, cancellation, deadline, on_done)
+        self.context.confirm_cancellation(now, cancellation, now + CONFIRMATION_S, on_done)
 
     def _state_of(self, request: object, job_id: str, record: JobRecord) -> None:
         """Answer with the state of a job by its record."""
@@ -81,9 +81,9 @@
         else:
             self._reply(request, rejection.status, error_body(rejection.reason))
 
-    def unavailable(self, request: object, reason: str) -> None:
-        """Answer that the request can't be decided now and should be repeated."""
-        reply = Reply(request, UNAVAILABLE, error_body(reason), RETRY_AFTER_S)
+    def unavailable(self, request: object, reason: str, retry_after_s: int = RETRY_AFTER_S) -> None:
+        """Answer that the request can't be decided now; repeat it after `retry_after_s` seconds."""
+        reply = Reply(request, UNAVAILABLE, error_body(reason), retry_after_s)
         self.outbox.replies.append(reply)
 
     def _reply(self, request: object, status: int, body: bytes) -> None:
--- a/src/copperpass/core/api/submissions.py
+++ b/src/copperpass/core/api/submissions.py
@@ -6,7 +6,7 @@
 
 from copperpass.core.api.context import ApiContext
 from copperpass.core.api.job_lookup import JobLookup, StoredJob
-from copperpass.core.api.responses import CONFIRMATION_S, Responder
+from copperpass.core.api.responses import Responder
 from copperpass.core.api.validation import (
     MALFORMED,
     UNAVAILABLE,
@@ -111,7 +111,7 @@
         """Answer a repeated submission with the state of the job that has the id."""
 
         def on_found(now: float, stored: StoredJob | None) -> None:
-            self.responder.job_state(now, request, job_id, stored, CONFIRMATION_S)
+            self.responder.job_state(now, request, job_id, stored)
 
         def on_failed(now: float) -> None:
             self.responder.unavailable(request, "state service not reached")
@@ -125,7 +125,7 @@
 
         def on_found(now: float, stored: StoredJob | None) -> None:
             if stored is not None:
-                self.responder.job_state(now, request, job_id, stored, CONFIRMATION_S)
+                self.responder.job_state(now, request, job_id, stored)
             else:
                 self.responder.rejected(request, rejection)
 
--- a/src/copperpass/core/cancellations/confirmations.py
+++ b/src/copperpass/core/cancellations/confirmations.py
@@ -23,7 +23,8 @@
 # The most notices that are repeated to one member at a time.
 MAX_REPEATED_NOTICES = 64
 
-OnConfirmed = Callable[[float, bool], None]
+# Called with the time and 0.0 once users may be told, or with the seconds after which they may be.
+OnConfirmed = Callable[[float, float], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,7 +41,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Waiter:
-    """A request that waits for a confirmation, for which it gets False at its deadline."""
+    """A request that waits for a confirmation until its deadline."""
 
     deadline: float
     on_done: OnConfirmed
@@ -96,19 +97,16 @@
     def confirm(
         self, now: float, cancellation: StoredCancellation, deadline: float, on_done: OnConfirmed
     ) -> None:
-        """Call `on_done` with True once users may be told, or with False at the deadline.
-
-        May call it before returning.
-        """
+        """Call `on_done` once users may be told, or at the deadline; possibly before returning."""
         job_id, timings = cancellation.job_id, self.context.timings
         known_to_all = now >= cancellation.known_since + timings.forget_after_s
         if known_to_all or job_id in self.confirmed:
-            on_done(now, True)
+            on_done(now, 0.0)
             return
         confirmation = self.confirmations.get(job_id) or self._begin(now, cancellation)
-        if self._may_tell(now, confirmation):
+        if self._remaining_s(now, confirmation) <= 0.0:
             self._remember(job_id)
-            on_done(now, True)
+            on_done(now, 0.0)
         else:
             confirmation.waiters.append(Waiter(deadline, on_done))
 
@@ -131,21 +129,20 @@
         for member in sorted(members):
             self.context.outbox.send(member, JobCancelled(job_id))
 
-    def _may_tell(self, now: float, confirmation: Confirmation) -> bool:
-        """Whether no other member starts tasks of the job any more."""
+    def _remaining_s(self, now: float, confirmation: Confirmation) -> float:
+        """Return in how many seconds certainly no other member starts tasks of the job any more."""
         timings, unacknowledged = self.context.timings, confirmation.unacknowledged
         # Once the watch has shown the cancellation, it shows as well who can start tasks.
         unacknowledged.intersection_update(
             self.context.possible_starters(confirmation.cancellation.revision)
         )
         if not unacknowledged:
-            return True
-        if now < confirmation.cancellation.known_since + timings.confirmer_fresh_s:
-            return False
-        return all(
-            now >= self._permit_given_at.get(member, float("-inf")) + timings.confirmer_permit_s
-            for member in unacknowledged
-        )
+            return 0.0
+        ends_at = confirmation.cancellation.known_since + timings.confirmer_fresh_s
+        for member in unacknowledged:
+            permit_given_at = self._permit_given_at.get(member, float("-inf"))
+            ends_at = max(ends_at, permit_given_at + timings.confirmer_permit_s)
+        return max(0.0, ends_at - now)
 
     def _remember(self, job_id: str) -> None:
         self.confirmed[job_id] = None
@@ -174,15 +171,15 @@
 
     def _settle(self, now: float, confirmation: Confirmation) -> None:
         """Answer what may be answered; drop the entry once all members have acknowledged it."""
-        job_id, may_tell = confirmation.cancellation.job_id, self._may_tell(now, confirmation)
-        if may_tell:
+        job_id, remaining_s = confirmation.cancellation.job_id, self._remaining_s(now, confirmation)
+        if remaining_s <= 0.0:
             self._remember(job_id)
         if not confirmation.unacknowledged:
             self.confirmations.pop(job_id, None)
         waiters, confirmation.waiters = confirmation.waiters, []
         for waiter in waiters:
-            if may_tell or now >= waiter.deadline:
-                waiter.on_done(now, may_tell)
+            if remaining_s <= 0.0 or now >= waiter.deadline:
+                waiter.on_done(now, remaining_s)
             else:
                 confirmation.waiters.append(waiter)
 
--- a/tests/simulation/users.py
+++ b/tests/simulation/users.py
@@ -57,6 +57,26 @@
             lambda user_api, request: user_api.cancel(self.now, request, job_id), name, job_id
         )
 
+    def cancel_until_confirmed(self, job_id, name=None):
+        """Cancel a job, and repeat the request as users do; return the latest answer.
+
+        A request is repeated after `Retry-After`, at another controller if the given one is down.
+        """
+        latest = UserRequest()
+
+        def attempt():
+            target = name if name in self.nodes else None
+            request = self.cancel(job_id, target) if self.nodes else UserRequest()
+            self.after(1.0, lambda: check(request))
+
+        def check(request):
+            latest.status, latest.body = request.status, request.body
+            if request.status != 200:
+                self.after(max(0.0, (request.retry_after or 0) - 1.0), attempt)
+
+        attempt()
+        return latest
+
     def gang(self, job_id, attempt):
         """Return the gang of an attempt, creating it on first use."""
         if (job_id, attempt) not in self.gangs:
