--- a/review/lib2/services.py
+++ b/review/lib2/services.py
@@ -6,7 +6,7 @@
 import itertools
 import json
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -18,6 +18,7 @@
 
     So a fault can concern one controller: `before(member, method, path, body)` is awaited before a
     request is executed, and may return "refuse" (503) or "lose" (executed, but not answered).
+    `after(member, path)` is awaited before its answer is sent.
     """
 
     def __init__(self) -> None:
@@ -25,6 +26,7 @@
         self.leases, self.lease_ids = {}, itertools.count(1)
         self.changed = asyncio.Condition()
         self.down, self.refused, self.before = False, set(), None
+        self.after: Callable[..., Awaitable[None]] | None = None
         self.servers = {}
 
     async def start(self, members: Iterable[str]) -> Any:
@@ -73,6 +75,8 @@
         if (self.down or member in self.refused) or verdict == "refuse":
             return 503, {}
         answer = await self.execute(member, method, path, body)
+        if self.after:
+            await self.after(member, path)
         return None if verdict == "lose" else answer
 
     async def execute(self, member: str, method: str, path: str, body: bytes) -> Any:
