--- a/review/4/case.py
+++ b/review/4/case.py
@@ -80,7 +80,9 @@
         cluster.start(member)
     leader = await cluster.healthy()
     first, second = (member for member in MEMBERS if member != leader)
-    cluster.order = [leader, first, second]
+    # A worker may try the controllers in any order; this one is fixed by its zone.
+    cluster.orders = {zone: [leader, second, first] for zone in ZONES}
+    cluster.orders[ZONES[0]] = [leader, first, second]
     long = {"cpus": 10.0, "runtime_s": 100.0, "borrowed": False}
     # Six machines, then the one in the first zone: its token is the highest.
     await cluster.submit(cluster.job(1, pages=3, hall=ZONES[1], **long))
@@ -93,7 +95,6 @@
     alone = next(worker for worker in workers if worker.hall == ZONES[0])
     for worker in workers:
         cluster.record(f"{worker.name} in {worker.hall}, token {worker.baton:x}")
-        worker.order = [leader, first, second] if worker is alone else [leader, second, first]
     task = cluster.job(4, pages=1, hall=ZONES[0], cpus=4.0, runtime_s=20.0, borrowed=False)
     if not trouble:
         await cluster.submit(task)
@@ -134,4 +135,4 @@
     await asyncio.sleep(8.0)
 
 
-main(case, Path(__file__).resolve().parent, capacity=CAPACITY)
+main(case, Path(__file__).resolve().parent, "wrong_place", capacity=CAPACITY)
--- a/review/lib2/cluster.py
+++ b/review/lib2/cluster.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import itertools
 import os
 import shlex
@@ -116,15 +115,16 @@
         # How many machines the cloud has, by zone and whether they are cheap.
         free = capacity or {(hall, cheap): 4 for hall in site.zones for cheap in (True, False)}
         places = {(site.machine_type["name"], *place): count for place, count in free.items()}
-        self.cloud = Cloud([site.machine_type], places, self.make_worker, boot_s)
+        lag_s = site.cloud["list_lag_s"]
+        self.cloud = Cloud([site.machine_type], places, self.make_worker, boot_s, lag_s)
         self.ports = {member: free_port() for member in MEMBERS}
         self.peer_ports = {member: free_port() for member in MEMBERS}
         # By (from, to): the proxy through which one controller reaches another.
         self.links, self.processes, self.log_numbers = {}, {}, itertools.count()
         self.report_fault = self.command_fault = self.on_order = None
         self.run_times, self.cut_zones = {}, set()
-        # The order in which new workers try the controllers; if empty, as in the settings.
-        self.order: list[str] = []
+        # By zone, the order in which new workers try the controllers; else as in the settings.
+        self.orders: dict[str, list[str]] = {}
         # The controllers that won the tokens, by token: commands name the token.
         self.winners = {}
         self.user = Client()
@@ -139,8 +139,9 @@
         self.rules.halls[name] = hall
         self.record(f"{name} is up in {hall}, cheap: {borrowed}")
         worker = Worker(self, name, rack, hall, borrowed)
-        if self.order:
-            worker.order, worker.target = list(self.order), self.order[0]
+        order = self.orders.get(hall)
+        if order:
+            worker.order, worker.target = order, order[0]
         return worker
 
     def run_s(self, spec: dict[str, Any]) -> Any:
@@ -150,7 +151,7 @@
     async def __aenter__(self) -> Any:
         self.folder = tempfile.TemporaryDirectory()
         state_ports = await self.state.start(MEMBERS)
-        cloud_port = await self.cloud.server.start()
+        cloud_ports = await self.cloud.start(MEMBERS)
         for source, target in itertools.permutations(MEMBERS, 2):
             proxy = self.links[source, target] = Proxy(self.peer_ports[target])
             await proxy.start()
@@ -161,7 +162,7 @@
                 for other in MEMBERS
                 if other != member
             }
-            external = f"127.0.0.1:{cloud_port}", f"127.0.0.1:{state_ports[member]}"
+            external = f"127.0.0.1:{cloud_ports[member]}", f"127.0.0.1:{state_ports[member]}"
             text = settings_text(self.site, member, own, peers, external)
             Path(self.folder.name, f"{member}.toml").write_text(text, encoding="utf-8")
         self.checks = asyncio.create_task(self._check())
@@ -258,7 +259,10 @@
             ):
                 await asyncio.sleep(0.05)
 
-        self.state.before = before
+        async def before_cloud(member: str) -> None:
+            await before(member, "", "", b"")
+
+        self.state.before, self.cloud.before = before, before_cloud
         self.report_fault, self.command_fault = report_fault, command_fault
 
     def heal_zone(self, zone: str) -> None:
@@ -415,27 +419,23 @@
     """The case could not run."""
 
 
-def main(case: Callable[..., Awaitable[None]], folder: Path, **parameters: Any) -> None:
-    """Run a case; exit with 1 if a rule was broken, with 2 if the case could not run, else 0."""
+def main(case: Callable[..., Awaitable[None]], folder: Path, rule: str, **parameters: Any) -> None:
+    """Run a case; exit with 1 if its rule was broken, with 2 if it could not run, else 0."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> int:
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         cluster = Cluster(Path(folder, "record.txt"), **parameters)
-        try:
-            async with asyncio.timeout(115):
-                async with cluster:
-                    try:
-                        await case(cluster, trouble)
-                    except NotRunError as error:
-                        cluster.record(f"not run: {error}")
-                        print(f"not run: {error}")
-                        return 2
-        except TimeoutError:
-            print("not run: time over")
-            return 2
-        for rule, text in cluster.rules.broken:
-            print(f"{rule}: {text}")
-        return 1 if cluster.rules.broken else 0
-
-    with contextlib.suppress(KeyboardInterrupt):
-        sys.exit(asyncio.run(run()))
+        async with asyncio.timeout(115), cluster:
+            await case(cluster, trouble)
+        for broken, text in cluster.rules.broken:
+            print(f"{broken}: {text}")
+        return int(any(broken == rule for broken, _ in cluster.rules.broken))
+
+    try:
+        code = asyncio.run(run())
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:
+        print(f"not run: {type(error).__name__} {error}")
+        code = 2
+    sys.exit(code)
--- a/review/lib2/services.py
+++ b/review/lib2/services.py
@@ -167,27 +167,41 @@
 
 
 class Cloud:
-    """Rents machines. `make(name, rack, hall, borrowed)` starts a machine's worker."""
+    """Rents machines; each controller has its own port. `make` makes a machine's worker.
+
+    The list shows the machines as they were `lag_s` seconds ago. `before(member)` is awaited before
+    a request is executed.
+    """
 
     def __init__(
         self,
         types: list[dict[str, Any]],
         capacity: dict[tuple[str, str, bool], int],
         make: Callable[..., Any],
-        boot_s: float = 1.5,
-        lag_s: float = 1.0,
+        boot_s: float,
+        lag_s: float,
     ) -> None:
         self.types, self.capacity, self.make = types, dict(capacity), make
         self.boot_s, self.lag_s = boot_s, lag_s
-        self.bookings, self.machines, self.numbers = {}, {}, itertools.count(1)
-        self.server = Server(self.serve)
-        self.before = None
+        # `rented`: every machine ever rented, by name; `machines`: those that are there.
+        self.bookings, self.rented, self.machines = {}, {}, {}
+        self.numbers = itertools.count(1)
+        self.before: Callable[[str], Awaitable[None]] | None = None
+        self.servers: dict[str, Server] = {}
 
-    async def serve(self, method: str, path: str, body: bytes) -> Any:
+    async def start(self, members: Iterable[str]) -> dict[str, int]:
+        """Listen on one port for each controller; return the ports."""
+        for member in members:
+            self.servers[member] = Server(
+                lambda method, path, body, member=member: self.serve(member, method, path, body)
+            )
+            await self.servers[member].start()
+        return {member: server.port for member, server in self.servers.items()}
+
+    async def serve(self, member: str, method: str, path: str, body: bytes) -> Any:
         """Answer a request."""
-        verdict = await self.before(method, path, body) if self.before else None
-        if verdict == "refuse":
-            return 503, {"error": "trouble"}
+        if self.before:
+            await self.before(member)
         if path == "/machine_types":
             return 200, {"racks": self.types}
         if path == "/rentals":
@@ -197,33 +211,33 @@
                 self.remove(name)
             return 200, {}
         query = {k: v[0] for k, v in parse_qs(urlsplit(path).query).items()}
-        now = time.monotonic()
+        as_of = time.monotonic() - self.lag_s
         names = [
             name
-            for name, machine in sorted(self.machines.items())
-            if name > query.get("since", "") and now - machine["at"] > self.lag_s
+            for name, machine in sorted(self.rented.items())
+            if name > query.get("since", "") and machine["at"] <= as_of < machine["gone_at"]
         ]
         most = min(500, int(query.get("most", 500)))
         return 200, {
-            "presses": [self.entry(name) for name in names[:most]],
+            "presses": [self.entry(name, as_of) for name in names[:most]],
             "truncated": len(names) > most,
         }
 
-    def entry(self, name: str) -> Any:
+    def entry(self, name: str, as_of: float) -> dict[str, Any]:
         """Return a machine as the list shows it."""
-        machine = self.machines[name]
-        worker = machine["worker"]
+        machine = self.rented[name]
+        is_up = machine["up_at"] <= as_of
         return {
             "id": name,
-            "address": worker.address if worker else None,
+            "address": machine["worker"].address if is_up else None,
             "rack": machine["rack"],
             "hall": machine["hall"],
             "borrowed": machine["borrowed"],
-            "status": "running" if worker else "starting",
-            "held_s": time.monotonic() - machine["at"],
+            "status": "running" if is_up else "starting",
+            "held_s": as_of - machine["at"],
         }
 
-    async def rent(self, request: dict[str, Any]) -> Any:
+    async def rent(self, request: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         """Rent up to `count` machines; a repeated booking gets the same answer."""
         if request["booking"] not in self.bookings:
             place = (request["rack"], request["hall"], request["borrowed"])
@@ -234,11 +248,13 @@
             names = []
             for _ in range(count):
                 name = f"m-{next(self.numbers):06d}"
-                self.machines[name] = {
+                self.rented[name] = self.machines[name] = {
                     "rack": place[0],
                     "hall": place[1],
                     "borrowed": place[2],
                     "at": time.monotonic(),
+                    "up_at": float("inf"),
+                    "gone_at": float("inf"),
                     "worker": None,
                 }
                 names.append(name)
@@ -254,7 +270,7 @@
         if machine is not None:
             worker = self.make(name, machine["rack"], machine["hall"], machine["borrowed"])
             await worker.start()
-            machine["worker"] = worker
+            machine["worker"], machine["up_at"] = worker, time.monotonic()
             if name not in self.machines:
                 worker.stop()
 
@@ -262,6 +278,7 @@
         """Delete a machine with all that runs on it."""
         machine = self.machines.pop(name, None)
         if machine is not None:
+            machine["gone_at"] = time.monotonic()
             self.capacity[machine["rack"], machine["hall"], machine["borrowed"]] += 1
             if machine["worker"]:
                 machine["worker"].stop()
--- a/review/lib2/worker.py
+++ b/review/lib2/worker.py
@@ -27,7 +27,10 @@
         self.order = list(site.ports)
         self.target = self.order[0]
         self.renewed_at = time.monotonic()
-        self.cpus = site.types[rack]["cpus"]
+        self.cpus, self.fetch_rate = site.types[rack]["cpus"], site.types[rack]["fetch_gb_per_s"]
+        # When each image is, or will be, on the machine.
+        self.images: dict[str, float] = {}
+        self.token_reported_at = float("-inf")
         self.server, self.client, self.address = Server(self.serve), Client(), ""
         self.change = asyncio.Event()
 
@@ -61,6 +64,7 @@
                 self.drop_all("lease over")
                 self.shift += 1
                 self.renewed_at = time.monotonic()
+                self.change.set()
 
     def report(self) -> Any:
         """Return the next report."""
@@ -82,6 +86,14 @@
             ],
         }
 
+    def see_token(self, baton: int) -> None:
+        """Store the highest token; a higher one is a change once per half of the lease."""
+        now = time.monotonic()
+        if baton > self.baton and now - self.token_reported_at > self.site.timings["lease_s"] / 2:
+            self.token_reported_at = now
+            self.change.set()
+        self.baton = max(self.baton, baton)
+
     async def _report(self) -> None:
         while self.alive:
             member, sent, shift = self.target, time.monotonic(), self.shift
@@ -91,7 +103,7 @@
                 return
             if status == 200:
                 if shift == self.shift and answer.get("baton", -1) >= self.baton:
-                    self.baton = answer["baton"]
+                    self.see_token(answer["baton"])
                     self.renewed_at = max(self.renewed_at, sent)
                     self.execute(answer["orders"], f"report to {member}")
                 pause = self.site.timings["report_s"] * random.uniform(0.75, 1.25)
@@ -136,8 +148,7 @@
             return 400, {}
         if request["baton"] < self.baton or request["shift"] != self.shift:
             return 409, self.report()
-        if request["baton"] > self.baton:
-            self.baton = request["baton"]
+        self.see_token(request["baton"])
         self.execute(request["orders"], f"/do {request['baton'] >> 40}")
         return 200, self.report()
 
@@ -156,7 +167,7 @@
                     self.end(key, task, "halted")
             elif self.tasks.get(key, {}).get("status") == "exited":
                 del self.tasks[key]
-            self.change.set()
+                self.change.set()
 
     def run(self, key: tuple[str, int]) -> None:
         """Start a task, or refuse it."""
@@ -171,23 +182,29 @@
             cause = "in_use"
         elif used + spec["cpus"] > self.cpus + 1e-6:
             cause = "no_room"
+        self.change.set()
         if cause:
             self.tasks[key] = {"status": "exited", "cause": cause, "cpus": 0.0}
             return
         task = self.tasks[key] = {"status": "pulling", "cpus": spec["cpus"]}
+        now = time.monotonic()
+        there_at = self.images.setdefault(spec["master"], now + spec["size_gb"] / self.fetch_rate)
         loop = asyncio.get_running_loop()
-        loop.call_later(0.2, lambda: self.begin(key, task, spec))
+        loop.call_later(max(0.01, there_at - now), lambda: self.begin(key, task, spec))
 
     def begin(self, key: tuple[str, int], task: dict[str, Any], spec: dict[str, Any]) -> None:
         """Run a task, now that its image is there."""
         if self.tasks.get(key) is not task or task["status"] != "pulling" or not self.alive:
             return
+        if key[0] in self.site.rules.completed:
+            # The result was kept.
+            self.end(key, task, "done")
+            return
         task["status"] = "running"
         self.site.rules.on_start(self, key[0], key[1], spec)
         self.change.set()
-        done = key[0] in self.site.rules.completed
         asyncio.get_running_loop().call_later(
-            0.0 if done else self.site.run_s(spec), lambda: self.end(key, task, "done")
+            self.site.run_s(spec), lambda: self.end(key, task, "done")
         )
 
     def end(self, key: tuple[str, int], task: dict[str, Any], cause: str) -> None:
